--- /dev/null
+++ b/crates/core/src/job/live.rs
@@ -0,0 +1,301 @@
+//! Jobs under way, with the state of each task.
+
+use std::collections::BTreeMap;
+
+use super::configuration::Queue;
+use super::record::{self, Progress};
+use super::{EndpointKey, Record, RunKey, State};
+use crate::time::{Instant, Timestamp};
+
+slotmap::new_key_type! {
+    /// Names a job in the scheduler's arena.
+    pub struct JobKey;
+}
+
+/// Names a task of a job under way.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TaskRef {
+    /// The job.
+    pub job: JobKey,
+    /// Number of the occurrence.
+    pub occurrence: u32,
+    /// Position of the step.
+    pub step: u32,
+    /// Index within the step.
+    pub index: u32,
+}
+
+/// A task of a job under way.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Task {
+    pub(super) done: bool,
+    pub(super) failed_runs: Vec<u64>,
+    pub(super) checkpoint: String,
+    /// Runs that may be alive.
+    pub(super) runs: Vec<RunKey>,
+    /// Highest number that a run of the task had.
+    pub(super) last_run: u64,
+    /// Endpoints on which it failed.
+    pub(super) avoid: Vec<EndpointKey>,
+    /// No start before then.
+    pub(super) not_before: Instant,
+}
+
+impl Task {
+    pub(super) fn is_waiting(&self) -> bool {
+        !self.done && self.runs.is_empty()
+    }
+
+    fn is_worth_keeping(&self) -> bool {
+        self.done || !self.failed_runs.is_empty() || !self.checkpoint.is_empty()
+    }
+}
+
+/// The tasks of one step of one occurrence.
+#[derive(Clone, Debug)]
+pub(super) struct Group {
+    pub(super) tasks: Vec<Task>,
+    pub(super) done: usize,
+}
+
+impl Group {
+    pub(super) const fn is_done(&self) -> bool {
+        self.done == self.tasks.len()
+    }
+}
+
+/// One occurrence under way.
+#[derive(Clone, Debug)]
+pub(super) struct Occurrence {
+    pub(super) groups: Vec<Group>,
+}
+
+impl Occurrence {
+    fn new(record: &Record) -> Self {
+        let group = |step: &super::Step| Group {
+            tasks: vec![Task::default(); step.count as usize],
+            done: 0,
+        };
+        Self {
+            groups: record.spec.steps.iter().map(group).collect(),
+        }
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.groups.iter().all(Group::is_done)
+    }
+
+    fn restore(&mut self, task: record::Task) {
+        let Some(group) = self.groups.get_mut(task.step as usize) else {
+            return;
+        };
+        let Some(place) = group.tasks.get_mut(task.index as usize) else {
+            return;
+        };
+        group.done += usize::from(task.done && !place.done);
+        place.done = task.done;
+        place.failed_runs = task.failed_runs;
+        place.checkpoint = task.checkpoint;
+    }
+
+    fn snapshot(&self, index: u32) -> record::Occurrence {
+        let mut tasks = Vec::new();
+        for (step, group) in self.groups.iter().enumerate() {
+            for (place, task) in group.tasks.iter().enumerate() {
+                if task.is_worth_keeping() {
+                    tasks.push(record::Task {
+                        step: u32::try_from(step).unwrap_or(u32::MAX),
+                        index: u32::try_from(place).unwrap_or(u32::MAX),
+                        done: task.done,
+                        failed_runs: task.failed_runs.clone(),
+                        checkpoint: if task.done {
+                            String::new()
+                        } else {
+                            task.checkpoint.clone()
+                        },
+                    });
+                }
+            }
+        }
+        record::Occurrence { index, tasks }
+    }
+}
+
+/// What the queue of a job lays down for it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Terms {
+    pub(super) priority: u32,
+    pub(super) attempts: u32,
+    /// When the job is late, by the wall clock.
+    pub(super) deadline: Timestamp,
+}
+
+/// A job under way.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) id: String,
+    pub(super) record: Record,
+    pub(super) terms: Terms,
+    pub(super) state: State,
+    /// Whether an earlier leader may have started tasks of it.
+    pub(super) inherited: bool,
+    pub(super) first_open: u32,
+    pub(super) next_occurrence: u32,
+    pub(super) occurrences: BTreeMap<u32, Occurrence>,
+    /// Rises with each change that the store should know.
+    pub(super) generation: u64,
+    pub(super) saved_generation: u64,
+    pub(super) changed_at: Instant,
+    /// Store revision of the saved progress; 0 for none.
+    pub(super) progress_version: u64,
+}
+
+impl Job {
+    pub(super) fn new(
+        id: String,
+        record: Record,
+        queue: Option<&Queue>,
+        progress: Option<Progress>,
+    ) -> Self {
+        let terms = Terms::new(&record, queue);
+        let progress = progress.unwrap_or_default();
+        let mut job = Self {
+            id,
+            record,
+            terms,
+            state: progress.state,
+            inherited: false,
+            first_open: progress.first_open,
+            next_occurrence: progress.first_open,
+            occurrences: BTreeMap::new(),
+            generation: 0,
+            saved_generation: 0,
+            changed_at: Instant::ZERO,
+            progress_version: 0,
+        };
+        for saved in progress.occurrences {
+            job.next_occurrence = job.next_occurrence.max(saved.index + 1);
+            let mut occurrence = Occurrence::new(&job.record);
+            for task in saved.tasks {
+                occurrence.restore(task);
+            }
+            job.occurrences.insert(saved.index, occurrence);
+        }
+        job
+    }
+
+    /// Returns how many occurrences the job has.
+    pub(super) fn occurrence_count(&self) -> u32 {
+        self.record
+            .spec
+            .recurrence
+            .map_or(1, |recurrence| recurrence.count)
+    }
+
+    /// Opens the occurrences that are due.
+    pub(super) fn open_due(&mut self, wall: Timestamp) {
+        while self.next_occurrence < self.occurrence_count() {
+            let due =
+                self.record.spec.recurrence.is_none_or(|recurrence| {
+                    recurrence.due(self.next_occurrence) <= wall
+                });
+            if !due {
+                return;
+            }
+            let occurrence = Occurrence::new(&self.record);
+            self.occurrences.insert(self.next_occurrence, occurrence);
+            self.next_occurrence += 1;
+        }
+    }
+
+    /// Drops occurrences that are done, from the first one on.
+    pub(super) fn close_done(&mut self) {
+        while let Some(entry) = self.occurrences.first_entry() {
+            if *entry.key() != self.first_open || !entry.get().is_done() {
+                return;
+            }
+            entry.remove();
+            self.first_open += 1;
+        }
+    }
+
+    pub(super) fn is_complete(&self) -> bool {
+        self.first_open >= self.occurrence_count()
+    }
+
+    pub(super) fn task(&self, task: TaskRef) -> Option<&Task> {
+        let occurrence = self.occurrences.get(&task.occurrence)?;
+        let group = occurrence.groups.get(task.step as usize)?;
+        group.tasks.get(task.index as usize)
+    }
+
+    pub(super) fn group_mut(&mut self, task: TaskRef) -> Option<&mut Group> {
+        let occurrence = self.occurrences.get_mut(&task.occurrence)?;
+        occurrence.groups.get_mut(task.step as usize)
+    }
+
+    pub(super) fn task_mut(&mut self, task: TaskRef) -> Option<&mut Task> {
+        self.group_mut(task)?.tasks.get_mut(task.index as usize)
+    }
+
+    /// Returns whether every step that `step` waits for is done.
+    pub(super) fn is_ready(&self, occurrence: u32, step: usize) -> bool {
+        let Some(open) = self.occurrences.get(&occurrence) else {
+            return false;
+        };
+        let after = &self.record.spec.steps[step].after;
+        after.iter().all(|&earlier| {
+            open.groups
+                .get(earlier as usize)
+                .is_some_and(Group::is_done)
+        })
+    }
+
+    /// Notes a change that the store should know.
+    pub(super) const fn touch(&mut self, now: Instant) {
+        if self.generation == self.saved_generation {
+            self.changed_at = now;
+        }
+        self.generation += 1;
+    }
+
+    pub(super) const fn is_saved(&self) -> bool {
+        self.generation == self.saved_generation
+    }
+
+    /// Returns what the store should hold.
+    pub(super) fn snapshot(&self) -> Progress {
+        let open = self.occurrences.iter();
+        Progress {
+            state: self.state,
+            first_open: self.first_open,
+            occurrences: if self.state.is_final() {
+                Vec::new()
+            } else {
+                open.map(|(&index, occurrence)| occurrence.snapshot(index))
+                    .collect()
+            },
+        }
+    }
+}
+
+impl Terms {
+    pub(super) fn new(record: &Record, queue: Option<&Queue>) -> Self {
+        let chain_ms = record.spec.critical_path_ms();
+        let stretch = queue.map_or(1.0, |queue| queue.stretch);
+        let slack = queue.map_or(0, |queue| queue.target_latency.as_millis());
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_precision_loss,
+            clippy::cast_sign_loss,
+            reason = "a span in milliseconds is far below 2^52"
+        )]
+        let stretched = (chain_ms as f64 * stretch) as u64;
+        let allowed = stretched + u64::try_from(slack).unwrap_or(u64::MAX);
+        Self {
+            priority: queue.map_or(u32::MAX, |queue| queue.priority),
+            attempts: queue.map_or(1, |queue| queue.attempts).max(1),
+            deadline: Timestamp::from_millis(record.submitted.as_millis() + allowed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/job/resource.rs
@@ -0,0 +1,55 @@
+//! What work takes of an endpoint.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of processor, memory and accelerators.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Resource {
+    /// Processor, in thousandths of a core.
+    pub cpu: u64,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub gpu: u64,
+}
+
+impl Resource {
+    /// Returns whether this amount fits beside `used` within `capacity`.
+    pub const fn fits(&self, used: &Self, capacity: &Self) -> bool {
+        used.cpu + self.cpu <= capacity.cpu
+            && used.memory_mb + self.memory_mb <= capacity.memory_mb
+            && used.gpu + self.gpu <= capacity.gpu
+    }
+
+    /// Returns whether this amount fits beside `used` within limits where 0 stands for no
+    /// limit.
+    pub const fn is_within(&self, used: &Self, limit: &Self) -> bool {
+        (limit.cpu == 0 || used.cpu + self.cpu <= limit.cpu)
+            && (limit.memory_mb == 0
+                || used.memory_mb + self.memory_mb <= limit.memory_mb)
+            && (limit.gpu == 0 || used.gpu + self.gpu <= limit.gpu)
+    }
+
+    /// Adds another amount.
+    pub const fn add(&mut self, other: &Self) {
+        self.cpu += other.cpu;
+        self.memory_mb += other.memory_mb;
+        self.gpu += other.gpu;
+    }
+
+    /// Takes another amount away, down to nothing.
+    pub const fn subtract(&mut self, other: &Self) {
+        self.cpu = self.cpu.saturating_sub(other.cpu);
+        self.memory_mb = self.memory_mb.saturating_sub(other.memory_mb);
+        self.gpu = self.gpu.saturating_sub(other.gpu);
+    }
+
+    /// Returns this amount `times` over.
+    pub const fn times(&self, times: u64) -> Self {
+        Self {
+            cpu: self.cpu * times,
+            memory_mb: self.memory_mb * times,
+            gpu: self.gpu * times,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -0,0 +1,388 @@
+//! How many hosts each pool holds.
+//!
+//! Queues burst by turns: each in its turn asks for several times its mean, and little in
+//! between. Hosts follow the turns. A pool grows as soon as its waiting and expected work
+//! doesn't fit, and an idle host leaves once keeping it costs more than moving it twice.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::{Command, Note, Scheduler};
+use crate::job::endpoint::Contact;
+use crate::job::{EndpointKey, Record, Resource};
+use crate::time::Instant;
+
+/// Time over which arrivals are counted.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_000);
+
+/// Time for which a host stays idle before it leaves its pool.
+const IDLE_TIME: Duration = Duration::from_millis(1_000);
+
+/// Time after which a move without a sign of life is no longer counted on.
+const MOVE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Part of a host's processor that placement fills on the whole, in percent.
+const FILL_PERCENT: u64 = 90;
+
+/// State of a host at the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HostState {
+    /// In its pool.
+    Up,
+    /// On its way to another pool.
+    Moving,
+    /// In maintenance.
+    Maintained,
+    /// Failed.
+    Down,
+}
+
+/// A host as the platform lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Host {
+    /// Name, which stays across moves.
+    pub name: String,
+    /// Pool that it is in, or on its way to.
+    pub pool: String,
+    /// What the platform does with it.
+    pub state: HostState,
+    /// What an endpoint on it can run.
+    pub capacity: Resource,
+    /// Identity of its endpoint, if one runs.
+    pub endpoint: Option<String>,
+}
+
+/// An order to move a host to another pool.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Move {
+    /// Name of the host.
+    pub host: String,
+    /// The pool to join.
+    pub pool: String,
+}
+
+/// What is known of the hosts.
+#[derive(Debug)]
+pub(super) struct Hosts {
+    pub(super) list: BTreeMap<String, Host>,
+    /// Orders that the list may not show yet.
+    pub(super) ordered: BTreeMap<String, Ordered>,
+    /// No order before then, since an earlier leader's orders may be on their way.
+    pub(super) quiet_until: Instant,
+}
+
+/// An order for a host.
+#[derive(Clone, Debug)]
+pub(super) struct Ordered {
+    pub(super) pool: String,
+    pub(super) at: Instant,
+}
+
+impl Hosts {
+    pub(super) const fn new(now: Instant) -> Self {
+        Self {
+            list: BTreeMap::new(),
+            ordered: BTreeMap::new(),
+            quiet_until: now,
+        }
+    }
+}
+
+/// Work that came to each pool lately.
+#[derive(Debug, Default)]
+pub(super) struct Arrivals {
+    recent: BTreeMap<String, VecDeque<Arrival>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: Instant,
+    /// Work in thousandths of a core times milliseconds.
+    work: u64,
+}
+
+impl Arrivals {
+    pub(super) fn job_came(&mut self, now: Instant, pool: &str, record: &Record) {
+        let steps = record.spec.steps.iter().filter(|step| !step.long_running);
+        let work = steps
+            .map(|step| u64::from(step.count) * step.reserved().cpu * step.estimate_ms)
+            .sum();
+        let recent = self.recent.entry(pool.to_owned()).or_default();
+        recent.push_back(Arrival { at: now, work });
+    }
+
+    /// Notes that a host has joined a pool.
+    pub(super) fn host_came(&mut self, pool: &str) {
+        self.recent.entry(pool.to_owned()).or_default();
+    }
+
+    /// Returns the processor that arrivals at the present rate keep busy.
+    fn rate(&mut self, now: Instant, pool: &str) -> u64 {
+        let Some(recent) = self.recent.get_mut(pool) else {
+            return 0;
+        };
+        while recent
+            .front()
+            .is_some_and(|arrival| now.saturating_since(arrival.at) > ARRIVAL_WINDOW)
+        {
+            recent.pop_front();
+        }
+        let work: u64 = recent.iter().map(|arrival| arrival.work).sum();
+        work / u64::try_from(ARRIVAL_WINDOW.as_millis())
+            .unwrap_or(1)
+            .max(1)
+    }
+}
+
+/// What a pool needs and has, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default)]
+struct Balance {
+    needed: u64,
+    held: u64,
+}
+
+impl Scheduler {
+    /// Takes the platform's list of hosts, read at `asked`.
+    pub fn set_hosts(&mut self, asked: Instant, hosts: Vec<Host>) {
+        let ordered = &mut self.hosts.ordered;
+        for host in &hosts {
+            let seen = ordered.get(&host.name).is_some_and(|order| {
+                order.pool == host.pool && host.state == HostState::Up && order.at < asked
+            });
+            if seen {
+                ordered.remove(&host.name);
+            }
+        }
+        ordered.retain(|_, order| asked.saturating_since(order.at) < MOVE_TIMEOUT);
+        self.hosts.list = hosts
+            .into_iter()
+            .map(|host| (host.name.clone(), host))
+            .collect();
+    }
+
+    /// Lets no order for hosts out before `until`.
+    pub const fn keep_hosts_until(&mut self, until: Instant) {
+        self.hosts.quiet_until = until;
+    }
+
+    /// Takes that an order for a host was refused or not sent.
+    pub fn host_order_failed(&mut self, host: &str) {
+        self.hosts.ordered.remove(host);
+        if let Some(key) = self.endpoint_of(host) {
+            self.endpoints[key].emptying = false;
+        }
+    }
+
+    pub(super) fn resize_pools(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        if now < self.hosts.quiet_until {
+            return;
+        }
+        let mut balances = self.balances(now);
+        self.grow(now, &mut balances, commands);
+        self.shrink(now, &mut balances, commands);
+    }
+
+    fn balances(&mut self, now: Instant) -> BTreeMap<String, Balance> {
+        let mut balances: BTreeMap<String, Balance> = BTreeMap::new();
+        for pool in &self.configuration.pools {
+            if !pool.standby {
+                let expected = self.arrivals.rate(now, &pool.name);
+                let needed = expected * 100 / FILL_PERCENT;
+                balances.insert(pool.name.clone(), Balance { needed, held: 0 });
+            }
+        }
+        let outstanding = self.outstanding();
+        for (pool, cpu) in outstanding {
+            if let Some(balance) = balances.get_mut(&pool) {
+                balance.needed = balance.needed.max(cpu.transient * 100 / FILL_PERCENT);
+                balance.needed += cpu.lasting;
+            }
+        }
+        for host in self.hosts.list.values() {
+            let pool = self
+                .hosts
+                .ordered
+                .get(&host.name)
+                .map_or(&host.pool, |order| &order.pool);
+            if host.state != HostState::Down
+                && let Some(balance) = balances.get_mut(pool)
+            {
+                balance.held += host.capacity.cpu;
+            }
+        }
+        balances
+    }
+
+    /// Returns the processor that jobs under way take now and with their next tasks.
+    fn outstanding(&self) -> BTreeMap<String, Outstanding> {
+        let mut outstanding: BTreeMap<String, Outstanding> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            let pool = self.pool_of(&job.record).to_owned();
+            let entry = outstanding.entry(pool).or_default();
+            for (&index, occurrence) in &job.occurrences {
+                for (place, step) in job.record.spec.steps.iter().enumerate() {
+                    let group = &occurrence.groups[place];
+                    let open = (group.tasks.len() - group.done) as u64;
+                    let cpu = open * step.reserved().cpu;
+                    if step.long_running {
+                        entry.lasting += cpu;
+                    } else if job.is_ready(index, place) {
+                        entry.transient += cpu;
+                    }
+                }
+            }
+        }
+        outstanding
+    }
+
+    fn grow(
+        &mut self,
+        now: Instant,
+        balances: &mut BTreeMap<String, Balance>,
+        commands: &mut Vec<Command>,
+    ) {
+        loop {
+            let short = balances
+                .iter()
+                .filter(|(_, balance)| balance.needed > balance.held)
+                .max_by_key(|(_, balance)| balance.needed - balance.held);
+            let Some((pool, balance)) = short else {
+                return;
+            };
+            let (pool, balance) = (pool.clone(), *balance);
+            let Some(host) = self.lendable(now, &pool, balances) else {
+                return;
+            };
+            self.order_move(now, &host, &pool, balance, balances, commands);
+        }
+    }
+
+    /// Returns a host that another pool can do without.
+    fn lendable(
+        &self,
+        now: Instant,
+        to: &str,
+        balances: &BTreeMap<String, Balance>,
+    ) -> Option<String> {
+        let hosts = self.hosts.list.values().filter(|host| {
+            host.pool != to
+                && host.state == HostState::Up
+                && !self.hosts.ordered.contains_key(&host.name)
+                && !self.is_awaiting_maintenance(&host.name)
+        });
+        hosts
+            .filter_map(|host| {
+                let Some(balance) = balances.get(&host.pool) else {
+                    return Some((0, host));
+                };
+                let spare = balance.held >= balance.needed + host.capacity.cpu;
+                (spare && self.is_host_idle(now, host, Duration::ZERO))
+                    .then_some((1, host))
+            })
+            .min_by_key(|&(cost, host)| (cost, host.name.clone()))
+            .map(|(_, host)| host.name.clone())
+    }
+
+    fn shrink(
+        &mut self,
+        now: Instant,
+        balances: &mut BTreeMap<String, Balance>,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(standby) = self.configuration.pools.iter().find(|pool| pool.standby)
+        else {
+            return;
+        };
+        let standby = standby.name.clone();
+        let idle: Vec<(String, String, u64)> = self
+            .hosts
+            .list
+            .values()
+            .filter(|host| {
+                host.state == HostState::Up
+                    && !self.hosts.ordered.contains_key(&host.name)
+                    && self.is_host_idle(now, host, IDLE_TIME)
+            })
+            .map(|host| (host.name.clone(), host.pool.clone(), host.capacity.cpu))
+            .collect();
+        for (host, pool, cpu) in idle {
+            let Some(balance) = balances.get(&pool).copied() else {
+                continue;
+            };
+            // One host's worth stays free for the next job.
+            if balance.held >= balance.needed + 2 * cpu {
+                self.order_move(now, &host, &standby, balance, balances, commands);
+            }
+        }
+    }
+
+    fn order_move(
+        &mut self,
+        now: Instant,
+        host: &str,
+        to: &str,
+        balance: Balance,
+        balances: &mut BTreeMap<String, Balance>,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(known) = self.hosts.list.get(host) else {
+            return;
+        };
+        let from = known.pool.clone();
+        if let Some(giver) = balances.get_mut(&from) {
+            giver.held = giver.held.saturating_sub(known.capacity.cpu);
+        }
+        if let Some(taker) = balances.get_mut(to) {
+            taker.held += known.capacity.cpu;
+        }
+        if let Some(key) = self.endpoint_of(host) {
+            self.endpoints[key].emptying = true;
+        }
+        self.hosts.ordered.insert(
+            host.to_owned(),
+            Ordered {
+                pool: to.to_owned(),
+                at: now,
+            },
+        );
+        self.notes.push(Note::HostMoves {
+            host: host.to_owned(),
+            from,
+            to: to.to_owned(),
+            needed_cpu: balance.needed,
+            held_cpu: balance.held,
+        });
+        commands.push(Command::Move(Move {
+            host: host.to_owned(),
+            pool: to.to_owned(),
+        }));
+    }
+
+    pub(super) fn endpoint_of(&self, host: &str) -> Option<EndpointKey> {
+        let id = self.hosts.list.get(host)?.endpoint.as_ref()?;
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns whether nothing has run on a host for a while, as far as is certain.
+    pub(super) fn is_host_idle(&self, now: Instant, host: &Host, span: Duration) -> bool {
+        let Some(id) = &host.endpoint else {
+            return false;
+        };
+        let Some(endpoint) = self.by_id.get(id).map(|&key| &self.endpoints[key]) else {
+            return false;
+        };
+        endpoint.is_idle()
+            && endpoint.contact == Contact::Live
+            && !endpoint.report.draining
+            && now.saturating_since(endpoint.idle_since) >= span
+    }
+}
+
+/// Processor that jobs under way take, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outstanding {
+    /// Of tasks that end by themselves.
+    transient: u64,
+    /// Of tasks that last.
+    lasting: u64,
+}
--- /dev/null
+++ b/crates/core/src/job/scheduler/finish.rs
@@ -0,0 +1,212 @@
+//! Ends: of runs, tasks, occurrences and jobs.
+
+use super::{Note, Scheduler};
+use crate::job::run::Phase;
+use crate::job::{End, JobKey, RunKey, State, TaskRef};
+use crate::time::Instant;
+
+/// Pause before a task of a step that lasts starts again, so that one that fails at once
+/// doesn't take all orders.
+const RESTART_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+
+impl Scheduler {
+    /// Takes a run off its endpoint and its task, and returns its task.
+    pub(super) fn remove_run(&mut self, now: Instant, key: RunKey) -> Option<TaskRef> {
+        let run = self.runs.remove(key)?;
+        if let Some(endpoint) = self.endpoints.get_mut(run.endpoint) {
+            endpoint.runs.remove(&key);
+            endpoint.used.subtract(&run.reserved);
+            if endpoint.runs.is_empty() {
+                endpoint.idle_since = now;
+            }
+        }
+        let task = run.task?;
+        let job = self.jobs.get_mut(task.job)?;
+        if let Some(workspace) = &job.record.workspace
+            && let Some(used) = self.usage.get_mut(workspace)
+        {
+            used.subtract(&run.demand);
+        }
+        if let Some(place) = job.task_mut(task) {
+            place.runs.retain(|&other| other != key);
+        }
+        Some(task)
+    }
+
+    /// Releases a run of which it is certain that it doesn't run.
+    pub(super) fn release(&mut self, now: Instant, key: RunKey, reason: &'static str) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        self.notes.push(Note::Gone {
+            name: run.name.clone(),
+            number: run.number,
+            endpoint: self.endpoint_id(run.endpoint),
+            reason,
+        });
+        if let Some(task) = self.remove_run(now, key) {
+            self.drop_if_over(task.job);
+        }
+    }
+
+    /// Takes the end of a run, which may be one that is no longer known.
+    pub(super) fn end_task(&mut self, now: Instant, task: TaskRef, end: &Ended<'_>) {
+        let Some(job) = self.jobs.get_mut(task.job) else {
+            return;
+        };
+        let long_running = job.record.spec.steps[task.step as usize].long_running;
+        let gang = job.record.spec.steps[task.step as usize].gang;
+        let Some(place) = job.task_mut(task) else {
+            return;
+        };
+        place.last_run = place.last_run.max(end.number);
+        if !end.checkpoint.is_empty() {
+            end.checkpoint.clone_into(&mut place.checkpoint);
+        }
+        if long_running {
+            place.not_before = now + RESTART_PAUSE;
+        }
+        match end.how {
+            End::Done if !long_running => self.task_done(now, task, gang),
+            End::Failed => self.task_failed(now, task, end, long_running),
+            End::Done | End::Stopped | End::Lapsed | End::Broken | End::Alone => {
+                job.touch(now);
+            }
+        }
+    }
+
+    fn task_done(&mut self, now: Instant, task: TaskRef, gang: bool) {
+        let job = &mut self.jobs[task.job];
+        let Some(group) = job.group_mut(task) else {
+            return;
+        };
+        let mut others = Vec::new();
+        let range = if gang {
+            0..group.tasks.len()
+        } else {
+            task.index as usize..task.index as usize + 1
+        };
+        for place in &mut group.tasks[range] {
+            if !place.done {
+                place.done = true;
+                group.done += 1;
+            }
+            if !gang {
+                others.extend(place.runs.iter().copied());
+            }
+        }
+        job.touch(now);
+        job.close_done();
+        let complete = job.is_complete();
+        for run in others {
+            self.stop(now, run, "a copy was first");
+        }
+        if complete && !self.jobs[task.job].state.is_final() {
+            self.finish(now, task.job, State::Completed, "every task is done");
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        now: Instant,
+        task: TaskRef,
+        end: &Ended<'_>,
+        long_running: bool,
+    ) {
+        if let Some(endpoint) = self.endpoints.get_mut(end.endpoint) {
+            endpoint.note_failure(now);
+        }
+        let job = &mut self.jobs[task.job];
+        let attempts = job.terms.attempts as usize;
+        let Some(place) = job.task_mut(task) else {
+            return;
+        };
+        if long_running || place.failed_runs.contains(&end.number) {
+            return;
+        }
+        place.failed_runs.push(end.number);
+        place.avoid.push(end.endpoint);
+        let spent = place.failed_runs.len() >= attempts && !place.done;
+        job.touch(now);
+        if spent && !job.state.is_final() {
+            self.finish(now, task.job, State::Failed, "a task failed too often");
+        }
+    }
+
+    /// Ends a job and stops what runs of it.
+    pub(super) fn finish(
+        &mut self,
+        now: Instant,
+        key: JobKey,
+        state: State,
+        reason: &'static str,
+    ) {
+        let job = &mut self.jobs[key];
+        job.state = state;
+        job.touch(now);
+        self.notes.push(Note::Finished {
+            job: job.id.clone(),
+            state,
+            reason,
+        });
+        let runs: Vec<_> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.job() == Some(key))
+            .map(|(run, _)| run)
+            .collect();
+        for run in runs {
+            self.stop(now, run, reason);
+        }
+    }
+
+    /// Has a run stopped; the order goes out with the next poll.
+    pub(super) fn stop(&mut self, now: Instant, key: RunKey, reason: &'static str) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        if run.phase.is_stopping() {
+            return;
+        }
+        run.phase = Phase::Stopping(now);
+        let note = Note::Stopping {
+            name: run.name.clone(),
+            number: run.number,
+            endpoint: self.endpoint_id(self.runs[key].endpoint),
+            reason,
+        };
+        self.notes.push(note);
+    }
+
+    /// Drops a job that is over, saved, and has no run left.
+    pub(super) fn drop_if_over(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        if !job.state.is_final() || !job.is_saved() {
+            return;
+        }
+        if self.runs.values().any(|run| run.job() == Some(key)) {
+            return;
+        }
+        if let Some(job) = self.jobs.remove(key) {
+            self.by_job.remove(&job.id);
+            self.ended.insert(job.id);
+        }
+    }
+
+    pub(super) fn endpoint_id(&self, key: crate::job::EndpointKey) -> String {
+        self.endpoints
+            .get(key)
+            .map_or_else(String::new, |endpoint| endpoint.report.id.clone())
+    }
+}
+
+/// The end of a run, as its endpoint reported it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ended<'a> {
+    pub(super) number: u64,
+    pub(super) how: End,
+    pub(super) checkpoint: &'a str,
+    pub(super) endpoint: crate::job::EndpointKey,
+}
--- /dev/null
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -0,0 +1,162 @@
+//! Facts from the store: configuration, endpoints, jobs, cancellations.
+
+use super::{Note, Scheduler};
+use crate::job::endpoint::{Contact, Endpoint};
+use crate::job::live::{Job, Terms};
+use crate::job::{Configuration, EndpointKey, JobKey, Progress, Record, Report, State};
+use crate::time::{Instant, Timestamp};
+
+impl Scheduler {
+    /// Takes a newer configuration.
+    pub fn set_configuration(&mut self, configuration: Configuration) {
+        for job in self.jobs.values_mut() {
+            if let Some(queue) = configuration.queue(&job.record.queue) {
+                job.terms = Terms::new(&job.record, Some(queue));
+            }
+        }
+        self.configuration = configuration;
+    }
+
+    /// Takes what an endpoint says of itself in the registry.
+    pub fn set_endpoint(&mut self, now: Instant, report: Report) {
+        if let Some(&key) = self.by_id.get(&report.id) {
+            let known = &self.endpoints[key].report;
+            if report.born < known.born {
+                return;
+            }
+            if report.born == known.born {
+                let endpoint = &mut self.endpoints[key];
+                endpoint.report = report;
+                endpoint.unlisted_since = None;
+                return;
+            }
+            self.bury(now, key, "another life began");
+        }
+        self.notes.push(Note::EndpointUp {
+            endpoint: report.id.clone(),
+            pool: report.pool.clone(),
+            born: report.born,
+        });
+        self.arrivals.host_came(&report.pool);
+        let id = report.id.clone();
+        let key = self.endpoints.insert(Endpoint::new(report, now));
+        self.by_id.insert(id, key);
+    }
+
+    /// Notes that an endpoint's registration is gone: it left, or it is cut off.
+    pub fn unlist_endpoint(&mut self, now: Instant, id: &str) {
+        let Some(&key) = self.by_id.get(id) else {
+            return;
+        };
+        let endpoint = &mut self.endpoints[key];
+        endpoint.unlisted_since.get_or_insert(now);
+        if endpoint.is_idle() {
+            self.bury(now, key, "registration gone");
+        }
+    }
+
+    /// Forgets an endpoint of which it is certain that nothing runs there any more.
+    pub(super) fn bury(&mut self, now: Instant, key: EndpointKey, reason: &'static str) {
+        let runs: Vec<_> = self.endpoints[key].runs.iter().copied().collect();
+        self.notes.push(Note::EndpointLost {
+            endpoint: self.endpoints[key].report.id.clone(),
+            reason,
+            runs: runs.len(),
+        });
+        for run in runs {
+            self.release(now, run, reason);
+        }
+        if let Some(endpoint) = self.endpoints.remove(key)
+            && self.by_id.get(&endpoint.report.id) == Some(&key)
+        {
+            self.by_id.remove(&endpoint.report.id);
+        }
+    }
+
+    /// Takes an accepted job, with what the store knows of its progress.
+    ///
+    /// `version` is the store revision at which the job was accepted.
+    pub fn add_job(
+        &mut self,
+        now: Instant,
+        id: &str,
+        version: u64,
+        record: Record,
+        progress: Option<(Progress, u64)>,
+    ) {
+        if self.by_job.contains_key(id) || self.ended.contains(id) {
+            return;
+        }
+        let (progress, progress_version) =
+            progress.map_or((None, 0), |(progress, version)| (Some(progress), version));
+        if progress
+            .as_ref()
+            .is_some_and(|progress| progress.state.is_final())
+        {
+            self.ended.insert(id.to_owned());
+            return;
+        }
+        let queue = self.configuration.queue(&record.queue);
+        let mut job = Job::new(id.to_owned(), record, queue, progress);
+        job.inherited = version < self.term.since;
+        job.progress_version = progress_version;
+        if !job.inherited {
+            let pool = self.pool_of(&job.record).to_owned();
+            self.arrivals.job_came(now, &pool, &job.record);
+        }
+        let key = self.jobs.insert(job);
+        self.by_job.insert(id.to_owned(), key);
+    }
+
+    /// Takes note that a caller cancelled a job.
+    pub fn cancel_job(&mut self, now: Instant, id: &str) {
+        let Some(&key) = self.by_job.get(id) else {
+            return;
+        };
+        if !self.jobs[key].state.is_final() {
+            self.finish(now, key, State::Cancelled, "cancelled by a caller");
+        }
+    }
+
+    /// Forgets jobs that are over and have left the store.
+    pub fn forget_job(&mut self, id: &str) {
+        self.ended.remove(id);
+    }
+
+    /// Returns the pool whose endpoints run a job now.
+    pub(super) fn pool_of<'a>(&'a self, record: &'a Record) -> &'a str {
+        self.configuration
+            .queue(&record.queue)
+            .map_or(record.pool.as_str(), |queue| queue.pool.as_str())
+    }
+
+    pub(super) fn open_occurrences(&mut self, now: Instant, wall: Timestamp) {
+        for job in self.jobs.values_mut() {
+            if !job.state.is_final() {
+                let before = job.next_occurrence;
+                job.open_due(wall);
+                if before != job.next_occurrence && before != 0 {
+                    job.touch(now);
+                }
+            }
+        }
+    }
+
+    /// Returns whether what an earlier leader started has been seen, or can't run any more.
+    pub(super) fn is_settled(&self, now: Instant) -> bool {
+        if now.saturating_since(self.began) >= self.options.inherited_bound {
+            return true;
+        }
+        !self.endpoints.is_empty()
+            && self
+                .endpoints
+                .values()
+                .all(|endpoint| endpoint.contact == Contact::Live)
+    }
+
+    /// Returns whether a job's tasks may be started.
+    pub(super) fn may_start(&self, job: JobKey, settled: bool) -> bool {
+        let job = &self.jobs[job];
+        !job.state.is_final() && (settled || !job.inherited)
+    }
+}
--- /dev/null
+++ b/crates/core/src/job/scheduler/lease.rs
@@ -0,0 +1,68 @@
+//! Leases of runs at endpoints that don't answer.
+
+use std::time::Duration;
+
+use super::Scheduler;
+use crate::job::EndpointKey;
+use crate::job::endpoint::Contact;
+use crate::time::Instant;
+
+/// How much longer than asked a lease may last, as a part of it: endpoints' clocks may run
+/// 2 % slow.
+const CLOCK_DRIFT: f64 = 0.025;
+
+/// Time beyond the drift for an order that is read late, and for the end of the run.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time after which an endpoint that neither answers nor is registered is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(20);
+
+impl Scheduler {
+    /// Returns until when a lease granted now may last.
+    pub(super) fn lease_bound(&self, now: Instant) -> Instant {
+        now + self.options.lease_term.mul_f64(1.0 + CLOCK_DRIFT) + LEASE_MARGIN
+    }
+
+    /// Releases the runs of lost endpoints whose leases are over, and forgets endpoints that
+    /// have left.
+    pub(super) fn release_lapsed(&mut self, now: Instant) {
+        let lost: Vec<EndpointKey> = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| {
+                matches!(endpoint.contact, Contact::Lost(_)) && now > endpoint.lease_bound
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in lost {
+            let runs: Vec<_> = self.endpoints[key].runs.iter().copied().collect();
+            for run in runs {
+                self.release(
+                    now,
+                    run,
+                    "its lease is over and its endpoint doesn't answer",
+                );
+            }
+        }
+        let left: Vec<EndpointKey> = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.is_idle() && self.has_left(now, endpoint))
+            .map(|(key, _)| key)
+            .collect();
+        for key in left {
+            self.bury(now, key, "registration gone");
+        }
+    }
+
+    fn has_left(&self, now: Instant, endpoint: &super::Endpoint) -> bool {
+        let Some(since) = endpoint.unlisted_since else {
+            return false;
+        };
+        match endpoint.contact {
+            Contact::Live => now.saturating_since(since) > FORGET_AFTER,
+            Contact::Lost(_) => now > endpoint.lease_bound,
+            Contact::Unseen => now.saturating_since(since) > self.options.inherited_bound,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/job/scheduler/order.rs
@@ -0,0 +1,117 @@
+//! Orders to hold and to stop.
+
+use std::time::Duration;
+
+use super::{Command, Hold, Scheduler, Stop};
+use crate::job::EndpointKey;
+use crate::job::endpoint::Contact;
+use crate::job::run::Phase;
+use crate::time::Instant;
+
+/// Longest time that an endpoint waits for an end before it answers a hold.
+const HOLD_WAIT: Duration = Duration::from_millis(1_500);
+
+/// The same where latencies must be watched.
+const PACED_WAIT: Duration = Duration::from_millis(700);
+
+/// Pause between two holds of an endpoint, which gathers ends.
+const HOLD_PAUSE: Duration = Duration::from_millis(40);
+
+/// Longest pause between two holds while ends aren't in the store.
+const SAVE_PAUSE: Duration = Duration::from_millis(300);
+
+impl Scheduler {
+    pub(super) fn order_holds(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        let due: Vec<EndpointKey> = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| {
+                let wanted = !endpoint.runs.is_empty()
+                    || endpoint.seen > endpoint.acknowledged_there
+                    || endpoint.contact != Contact::Live;
+                endpoint.hold_sent.is_none() && wanted && now >= endpoint.next_hold
+            })
+            .map(|(key, _)| key)
+            .collect();
+        let bound = self.lease_bound(now);
+        for key in due {
+            let wait = self.hold_wait(key);
+            let endpoint = &mut self.endpoints[key];
+            endpoint.hold_sent = Some(now);
+            endpoint.acknowledged_sent = endpoint.acknowledged();
+            endpoint.lease_bound = endpoint.lease_bound.max(bound);
+            commands.push(Command::Hold(Hold {
+                endpoint: key,
+                sent: now,
+                target: endpoint.target(),
+                acknowledged: endpoint.acknowledged(),
+                lease_end_ms: endpoint.lease_end(now, self.options.lease_term),
+                wait,
+                fence: self.term.fence,
+            }));
+        }
+    }
+
+    /// Returns how long a hold may wait for an end.
+    fn hold_wait(&self, key: EndpointKey) -> Duration {
+        match (self.can_wait(key), self.needs_pacing(key)) {
+            (false, _) => Duration::ZERO,
+            (true, true) => PACED_WAIT,
+            (true, false) => HOLD_WAIT,
+        }
+    }
+
+    /// Returns whether a hold may wait at all: nothing is to be looked at right now.
+    fn can_wait(&self, key: EndpointKey) -> bool {
+        let endpoint = &self.endpoints[key];
+        let doubtful = |run| {
+            matches!(
+                self.runs[run].phase,
+                Phase::Doubtful | Phase::StopAcknowledged(_)
+            )
+        };
+        endpoint.contact == Contact::Live
+            && endpoint.unsaved.is_empty()
+            && !endpoint.runs.is_empty()
+            && !endpoint.runs.iter().copied().any(doubtful)
+    }
+
+    /// Sets when an endpoint that has just reported is asked next.
+    pub(super) fn order_next_hold(&mut self, now: Instant, key: EndpointKey) {
+        let endpoint = &mut self.endpoints[key];
+        endpoint.next_hold = now
+            + if endpoint.unsaved.is_empty() {
+                HOLD_PAUSE
+            } else {
+                SAVE_PAUSE
+            };
+    }
+
+    /// Asks an endpoint again soon, since its ends are now in the store.
+    pub(super) fn order_hold_after_save(&mut self, now: Instant, key: EndpointKey) {
+        let endpoint = &mut self.endpoints[key];
+        endpoint.next_hold = endpoint.next_hold.min(now);
+    }
+
+    pub(super) fn order_stops(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        for (key, run) in &mut self.runs {
+            let Phase::Stopping(due) = run.phase else {
+                continue;
+            };
+            let Some(endpoint) = self.endpoints.get(run.endpoint) else {
+                continue;
+            };
+            if now < due {
+                continue;
+            }
+            run.phase = Phase::StopSent;
+            commands.push(Command::Stop(Stop {
+                run: key,
+                target: endpoint.target(),
+                name: run.name.clone(),
+                number: run.number,
+                fence: self.term.fence,
+            }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/job/scheduler/place.rs
@@ -0,0 +1,387 @@
+//! Placement: which waiting task starts on which endpoint, and in which order.
+//!
+//! Loads that burst by turns leave room when the tasks fill few endpoints: the others run
+//! empty within seconds, and their hosts can move to the pool whose turn has come.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use super::{Command, Note, Scheduler, Start};
+use crate::job::live::Job;
+use crate::job::run::{Phase, Run};
+use crate::job::{EndpointKey, JobKey, Name, Resource, Step, TaskRef};
+use crate::time::{Instant, Timestamp};
+
+/// Distance between the run numbers of two terms, above the starts of a task in one term.
+const NUMBERS_PER_TERM: u64 = 1_000;
+
+/// Place of a job in the order of starts; the lowest goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Rank {
+    class: Class,
+    priority: u32,
+    /// When its remaining work must start to be in time, in milliseconds.
+    latest_start: u64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Class {
+    /// Tasks that last serve their users only while they run.
+    Lasting,
+    /// Can still be in time.
+    InTime,
+    /// Is late whatever is done.
+    Late,
+}
+
+/// The endpoints of each pool that take work.
+type Open = BTreeMap<String, Vec<EndpointKey>>;
+
+impl Scheduler {
+    pub(super) fn place(
+        &mut self,
+        now: Instant,
+        wall: Timestamp,
+        commands: &mut Vec<Command>,
+    ) {
+        let settled = self.is_settled(now);
+        let mut jobs: Vec<(Rank, JobKey)> = self
+            .jobs
+            .iter()
+            .filter(|(key, _)| self.may_start(*key, settled))
+            .map(|(key, job)| (rank(job, wall), key))
+            .collect();
+        jobs.sort_unstable();
+        let open = self.open_endpoints(now);
+        for (_, key) in jobs {
+            self.place_job(now, key, &open, commands);
+        }
+    }
+
+    fn open_endpoints(&self, now: Instant) -> Open {
+        let mut open = Open::new();
+        for (key, endpoint) in &self.endpoints {
+            if endpoint.takes_work(now) {
+                let pool = open.entry(endpoint.report.pool.clone()).or_default();
+                pool.push(key);
+            }
+        }
+        open
+    }
+
+    fn place_job(
+        &mut self,
+        now: Instant,
+        key: JobKey,
+        open: &Open,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(endpoints) = open.get(self.pool_of(&self.jobs[key].record)) else {
+            return;
+        };
+        for (occurrence, step) in self.ready_steps(key) {
+            let waiting = self.waiting_tasks(now, key, occurrence, step);
+            if waiting.is_empty() {
+                continue;
+            }
+            if self.jobs[key].record.spec.steps[step as usize].gang {
+                self.place_gang(now, &waiting, endpoints, commands);
+                continue;
+            }
+            for task in waiting {
+                let Some(endpoint) = self.choose(now, task, endpoints) else {
+                    break;
+                };
+                let number = self.next_number(task);
+                commands.push(Command::Start(self.start(now, task, endpoint, number)));
+            }
+        }
+    }
+
+    fn ready_steps(&self, key: JobKey) -> Vec<(u32, u32)> {
+        let job = &self.jobs[key];
+        let mut ready = Vec::new();
+        for &occurrence in job.occurrences.keys() {
+            for step in 0..job.record.spec.steps.len() {
+                if job.is_ready(occurrence, step) {
+                    ready.push((occurrence, u32::try_from(step).unwrap_or(u32::MAX)));
+                }
+            }
+        }
+        ready
+    }
+
+    fn waiting_tasks(
+        &self,
+        now: Instant,
+        key: JobKey,
+        occurrence: u32,
+        step: u32,
+    ) -> Vec<TaskRef> {
+        let group = &self.jobs[key].occurrences[&occurrence].groups[step as usize];
+        let tasks = group.tasks.iter().enumerate();
+        tasks
+            .filter(|(_, task)| task.is_waiting() && now >= task.not_before)
+            .map(|(index, _)| TaskRef {
+                job: key,
+                occurrence,
+                step,
+                index: u32::try_from(index).unwrap_or(u32::MAX),
+            })
+            .collect()
+    }
+
+    /// Places all members of a gang, or none.
+    fn place_gang(
+        &mut self,
+        now: Instant,
+        members: &[TaskRef],
+        endpoints: &[EndpointKey],
+        commands: &mut Vec<Command>,
+    ) {
+        let step = self.step(members[0]).clone();
+        if members.len() < step.count as usize {
+            // Some members still run or wait for their pause.
+            return;
+        }
+        let Some(places) = self.gang_places(now, members, endpoints, &step) else {
+            return;
+        };
+        let numbers = members.iter().map(|&member| self.next_number(member));
+        let number = numbers.max().unwrap_or(1);
+        for (&member, endpoint) in members.iter().zip(places) {
+            commands.push(Command::Start(self.start(now, member, endpoint, number)));
+        }
+    }
+
+    fn gang_places(
+        &mut self,
+        now: Instant,
+        members: &[TaskRef],
+        endpoints: &[EndpointKey],
+        step: &Step,
+    ) -> Option<Vec<EndpointKey>> {
+        if step.same_rack {
+            let mut racks: BTreeMap<String, Vec<EndpointKey>> = BTreeMap::new();
+            for &key in endpoints {
+                let rack = self.endpoints[key].report.rack().to_owned();
+                racks.entry(rack).or_default().push(key);
+            }
+            for rack in racks.values() {
+                if let Some(places) = self.try_places(now, members, rack, step) {
+                    return Some(places);
+                }
+            }
+        }
+        self.try_places(now, members, endpoints, step)
+    }
+
+    fn try_places(
+        &mut self,
+        now: Instant,
+        members: &[TaskRef],
+        endpoints: &[EndpointKey],
+        step: &Step,
+    ) -> Option<Vec<EndpointKey>> {
+        let reserved = step.reserved();
+        let mut places = Vec::with_capacity(members.len());
+        let mut counts: BTreeMap<EndpointKey, u32> = BTreeMap::new();
+        let whole = step.demand.times(members.len() as u64);
+        if !self.is_within_limit(members[0], &whole) {
+            return None;
+        }
+        for &member in members {
+            let bounded: Vec<EndpointKey> = endpoints
+                .iter()
+                .copied()
+                .filter(|key| {
+                    step.max_per_endpoint == 0
+                        || counts.get(key).copied().unwrap_or(0) < step.max_per_endpoint
+                })
+                .collect();
+            let Some(key) = self.choose(now, member, &bounded) else {
+                break;
+            };
+            self.endpoints[key].used.add(&reserved);
+            *counts.entry(key).or_default() += 1;
+            places.push(key);
+        }
+        for &key in &places {
+            self.endpoints[key].used.subtract(&reserved);
+        }
+        (places.len() == members.len()).then_some(places)
+    }
+
+    /// Returns the best endpoint for a task that fits somewhere.
+    fn choose(
+        &self,
+        now: Instant,
+        task: TaskRef,
+        endpoints: &[EndpointKey],
+    ) -> Option<EndpointKey> {
+        let step = self.step(task);
+        if !self.is_within_limit(task, &step.demand) {
+            return None;
+        }
+        let reserved = step.reserved();
+        let avoid = &self.jobs[task.job].task(task)?.avoid;
+        endpoints
+            .iter()
+            .copied()
+            .filter(|&key| {
+                let endpoint = &self.endpoints[key];
+                endpoint.takes_work(now)
+                    && reserved.fits(&endpoint.used, &endpoint.report.capacity)
+                    && (step.requires.is_empty()
+                        || endpoint.report.labels.contains(&step.requires))
+                    && self.is_apart(task, step, key)
+            })
+            .min_by_key(|&key| {
+                let endpoint = &self.endpoints[key];
+                let remote = !step.affinity.is_empty()
+                    && !endpoint.report.labels.contains(&step.affinity);
+                let free = endpoint.report.capacity.cpu - endpoint.used.cpu;
+                let lasting = if step.long_running {
+                    self.lasting_runs(key)
+                } else {
+                    0
+                };
+                (avoid.contains(&key), remote, Reverse(lasting), free)
+            })
+    }
+
+    /// Returns the number of runs on an endpoint that last.
+    pub(super) fn lasting_runs(&self, key: EndpointKey) -> usize {
+        let runs = self.endpoints[key].runs.iter();
+        let tasks = runs.filter_map(|&run| self.runs[run].task);
+        tasks.filter(|&task| self.step(task).long_running).count()
+    }
+
+    fn is_apart(&self, task: TaskRef, step: &Step, key: EndpointKey) -> bool {
+        if step.max_per_endpoint == 0 {
+            return true;
+        }
+        let runs = self.endpoints[key].runs.iter();
+        let others = runs.filter_map(|&run| self.runs[run].task).filter(|other| {
+            other.job == task.job
+                && other.occurrence == task.occurrence
+                && other.step == task.step
+        });
+        others.count() < step.max_per_endpoint as usize
+    }
+
+    fn is_within_limit(&self, task: TaskRef, demand: &Resource) -> bool {
+        let Some(workspace) = &self.jobs[task.job].record.workspace else {
+            return true;
+        };
+        let Some(limit) = self.configuration.workspace(workspace) else {
+            return true;
+        };
+        let used = self.usage.get(workspace).copied().unwrap_or_default();
+        demand.is_within(&used, &limit.limit)
+    }
+
+    pub(super) fn step(&self, task: TaskRef) -> &Step {
+        &self.jobs[task.job].record.spec.steps[task.step as usize]
+    }
+
+    fn next_number(&self, task: TaskRef) -> u64 {
+        let job = &self.jobs[task.job];
+        let last = job.task(task).map_or(0, |task| task.last_run);
+        let base = if job.inherited {
+            self.term.number * NUMBERS_PER_TERM
+        } else {
+            0
+        };
+        last.max(base) + 1
+    }
+
+    fn start(
+        &mut self,
+        now: Instant,
+        task: TaskRef,
+        key: EndpointKey,
+        number: u64,
+    ) -> Start {
+        let step = self.step(task);
+        let (reserved, demand) = (step.reserved(), step.demand);
+        let name = Name {
+            job: self.jobs[task.job].id.clone(),
+            occurrence: task.occurrence,
+            step: task.step,
+            index: task.index,
+        };
+        let run = self.runs.insert(Run {
+            name: name.clone(),
+            number,
+            task: Some(task),
+            endpoint: key,
+            reserved,
+            demand,
+            phase: Phase::Starting,
+            sent_at: now,
+            percent: 0,
+            gauge: 0,
+            pace: 100,
+        });
+        self.attach(run, Some(task), key, reserved, demand);
+        let bound = self.lease_bound(now);
+        let endpoint = &mut self.endpoints[key];
+        endpoint.lease_bound = endpoint.lease_bound.max(bound);
+        let (used, capacity) = (endpoint.used.cpu, endpoint.report.capacity.cpu);
+        self.notes.push(Note::Placed {
+            name: name.clone(),
+            number,
+            endpoint: endpoint.report.id.clone(),
+            free_cpu: capacity.saturating_sub(used),
+        });
+        let job = &self.jobs[task.job];
+        Start {
+            run,
+            target: endpoint.target(),
+            name,
+            number,
+            payload: job.record.spec.payload.clone(),
+            checkpoint: job
+                .task(task)
+                .map_or_else(String::new, |task| task.checkpoint.clone()),
+            lease_end_ms: endpoint.lease_end(now, self.options.lease_term),
+            fence: self.term.fence,
+        }
+    }
+}
+
+fn rank(job: &Job, wall: Timestamp) -> Rank {
+    let lasting = job.record.spec.steps.iter().any(|step| step.long_running);
+    let remaining = remaining_chain_ms(job);
+    let latest_start = job.terms.deadline.as_millis().saturating_sub(remaining);
+    let class = if lasting {
+        Class::Lasting
+    } else if latest_start >= wall.as_millis() {
+        Class::InTime
+    } else {
+        Class::Late
+    };
+    Rank {
+        class,
+        priority: job.terms.priority,
+        latest_start,
+    }
+}
+
+/// Returns how long the longest chain of steps that aren't done takes, in milliseconds.
+pub(super) fn remaining_chain_ms(job: &Job) -> u64 {
+    let Some(occurrence) = job.occurrences.values().next() else {
+        return 0;
+    };
+    let mut ends: Vec<u64> = Vec::with_capacity(job.record.spec.steps.len());
+    for (step, group) in job.record.spec.steps.iter().zip(&occurrence.groups) {
+        let earlier = step
+            .after
+            .iter()
+            .filter_map(|&step| ends.get(step as usize));
+        let start = earlier.copied().max().unwrap_or(0);
+        ends.push(start + if group.is_done() { 0 } else { step.estimate_ms });
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/core/src/job/scheduler/save.rs
@@ -0,0 +1,120 @@
+//! Progress on its way to the store.
+
+use std::time::Duration;
+
+use super::{Command, Progress, Scheduler};
+use crate::job::JobKey;
+use crate::time::Instant;
+
+/// Time for which changes are gathered before they are written.
+const GATHER_TIME: Duration = Duration::from_millis(20);
+
+/// Most jobs in one write, so that it stays below the store's bound of 32 entries with a
+/// condition and a value for each and one condition for the leadership.
+const MAX_JOBS: usize = 15;
+
+/// Progress of one job to be written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Save {
+    /// The job.
+    pub job: JobKey,
+    /// Identity of the job.
+    pub id: String,
+    /// What the store should hold.
+    pub progress: Progress,
+    /// Which change of the job this is.
+    pub generation: u64,
+    /// Store revision of the progress that this replaces; 0 for none.
+    pub version: u64,
+}
+
+/// How a write of progress ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// Everything is in the store, at this revision.
+    Saved(u64),
+    /// Nothing was written: the progress in the store has these revisions.
+    Conflict(Vec<(JobKey, u64)>),
+    /// Nothing is known; the same write may be sent again.
+    Unknown,
+}
+
+impl Scheduler {
+    pub(super) fn save(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        if self.saves_in_flight {
+            return;
+        }
+        let mut due: Vec<JobKey> = Vec::new();
+        for (key, job) in &self.jobs {
+            let gathered = now.saturating_since(job.changed_at) >= GATHER_TIME;
+            if !job.is_saved() && (gathered || job.state.is_final()) {
+                due.push(key);
+            }
+        }
+        if due.is_empty() {
+            return;
+        }
+        due.sort_by_key(|&key| self.jobs[key].changed_at);
+        due.truncate(MAX_JOBS);
+        let save = |key: JobKey| {
+            let job = &self.jobs[key];
+            Save {
+                job: key,
+                id: job.id.clone(),
+                progress: job.snapshot(),
+                generation: job.generation,
+                version: job.progress_version,
+            }
+        };
+        commands.push(Command::Save(due.into_iter().map(save).collect()));
+        self.saves_in_flight = true;
+    }
+
+    /// Takes how a write of progress ended.
+    pub fn saved(&mut self, now: Instant, saves: &[Save], ending: &Ending) {
+        self.saves_in_flight = false;
+        match ending {
+            Ending::Unknown => {}
+            Ending::Conflict(versions) => {
+                for &(key, version) in versions {
+                    if let Some(job) = self.jobs.get_mut(key) {
+                        job.progress_version = version;
+                    }
+                }
+            }
+            Ending::Saved(version) => {
+                for save in saves {
+                    if let Some(job) = self.jobs.get_mut(save.job) {
+                        job.progress_version = *version;
+                        job.saved_generation = save.generation;
+                        job.changed_at = now;
+                    }
+                }
+                self.settle_ends(now, saves);
+                for save in saves {
+                    self.drop_if_over(save.job);
+                }
+            }
+        }
+    }
+
+    /// Lets endpoints forget the ends whose meaning is now in the store.
+    fn settle_ends(&mut self, now: Instant, saves: &[Save]) {
+        let mut settled = Vec::new();
+        for (key, endpoint) in &mut self.endpoints {
+            let before = endpoint.unsaved.len();
+            endpoint.unsaved.retain(|unsaved| {
+                let covers = |save: &Save| {
+                    save.job == unsaved.job && save.generation >= unsaved.generation
+                };
+                !saves.iter().any(covers)
+            });
+            if before > 0 && endpoint.unsaved.is_empty() {
+                settled.push(key);
+            }
+        }
+        for key in settled {
+            self.order_hold_after_save(now, key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/job/scheduler/wave.rs
@@ -0,0 +1,298 @@
+//! Waves: each host of a wave has its maintenance in time, a bounded number at once.
+//!
+//! Hosts on which nothing runs go first. Others are emptied, those with the least work
+//! before the rest, and tasks that last are moved off them one at a time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::capacity::HostState;
+use super::{Command, Note, Scheduler};
+use crate::job::live::Task;
+use crate::job::run::Phase;
+use crate::job::{EndpointKey, RunKey, TaskRef};
+use crate::time::Instant;
+
+/// Most hosts that are emptied at once, beyond those in maintenance.
+const MAX_EMPTYING: usize = 3;
+
+/// Time after which an order without an effect is sent again.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A wave of maintenance, as operators ask for it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Wave {
+    /// Number of the wave.
+    pub number: u64,
+    /// Names of the hosts.
+    pub hosts: Vec<String>,
+    /// Time within which every host is to have its maintenance.
+    pub duration: Duration,
+    /// Most hosts that may be in maintenance at once.
+    pub max_at_once: usize,
+}
+
+/// How far a wave is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WaveState {
+    /// Some host hasn't begun its maintenance.
+    Running,
+    /// Every host that stays has begun its maintenance.
+    Completed,
+}
+
+/// An order to begin a host's maintenance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Upkeep {
+    /// Name of the host.
+    pub host: String,
+    /// Number of the wave.
+    pub wave: u64,
+}
+
+/// Waves under way.
+#[derive(Debug, Default)]
+pub(super) struct Waves {
+    open: BTreeMap<u64, Open>,
+    completed: BTreeSet<u64>,
+    /// When each host last began its maintenance.
+    begun: BTreeMap<String, Instant>,
+}
+
+#[derive(Debug)]
+struct Open {
+    wave: Wave,
+    /// Hosts that have begun, or had, their maintenance.
+    done: BTreeSet<String>,
+    /// Orders without an answer yet.
+    ordered: BTreeMap<String, Instant>,
+    reported: bool,
+}
+
+impl Scheduler {
+    /// Takes a wave that operators ask for, with the hosts that have had their maintenance.
+    pub fn add_wave(&mut self, wave: Wave, done: BTreeSet<String>) {
+        if self.waves.completed.contains(&wave.number)
+            || self.waves.open.contains_key(&wave.number)
+        {
+            return;
+        }
+        let open = Open {
+            done,
+            ordered: BTreeMap::new(),
+            reported: false,
+            wave,
+        };
+        self.waves.open.insert(open.wave.number, open);
+    }
+
+    /// Takes note that a wave was reported as completed.
+    pub fn complete_wave(&mut self, number: u64) {
+        self.waves.open.remove(&number);
+        self.waves.completed.insert(number);
+    }
+
+    /// Takes note that a host's maintenance has begun.
+    pub fn maintenance_begun(&mut self, now: Instant, host: &str, wave: u64) {
+        if let Some(open) = self.waves.open.get_mut(&wave) {
+            open.ordered.remove(host);
+            open.done.insert(host.to_owned());
+        }
+        self.waves.begun.insert(host.to_owned(), now);
+    }
+
+    /// Takes note that an order for a host's maintenance had no effect.
+    pub fn maintenance_refused(&mut self, host: &str, wave: u64) {
+        if let Some(open) = self.waves.open.get_mut(&wave) {
+            open.ordered.remove(host);
+        }
+    }
+
+    /// Returns the hosts of a wave that have begun, or had, their maintenance.
+    pub fn maintained_hosts(&self, wave: u64) -> BTreeSet<String> {
+        let open = self.waves.open.get(&wave);
+        open.map(|open| open.done.clone()).unwrap_or_default()
+    }
+
+    /// Returns whether a host still has a wave's maintenance before it.
+    pub(super) fn is_awaiting_maintenance(&self, host: &str) -> bool {
+        self.waves.open.values().any(|open| {
+            !open.done.contains(host) && open.wave.hosts.iter().any(|name| name == host)
+        })
+    }
+
+    pub(super) fn schedule_waves(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        if now < self.hosts.quiet_until || self.hosts.list.is_empty() {
+            return;
+        }
+        let numbers: Vec<u64> = self.waves.open.keys().copied().collect();
+        for number in numbers {
+            self.report_wave(number, commands);
+            self.schedule_wave(now, number, commands);
+        }
+        self.evacuate(now);
+    }
+
+    fn report_wave(&mut self, number: u64, commands: &mut Vec<Command>) {
+        let open = &self.waves.open[&number];
+        let stays = |host: &&String| self.hosts.list.contains_key(*host);
+        let complete = open
+            .wave
+            .hosts
+            .iter()
+            .filter(stays)
+            .all(|host| open.done.contains(host));
+        let state = if complete {
+            WaveState::Completed
+        } else if open.reported {
+            return;
+        } else {
+            WaveState::Running
+        };
+        let wave = open.wave.clone();
+        if let Some(open) = self.waves.open.get_mut(&number) {
+            open.reported = true;
+        }
+        commands.push(Command::ReportWave(wave, state));
+    }
+
+    fn schedule_wave(&mut self, now: Instant, number: u64, commands: &mut Vec<Command>) {
+        let Some(open) = self.waves.open.get_mut(&number) else {
+            return;
+        };
+        open.ordered
+            .retain(|_, at| now.saturating_since(*at) < ORDER_TIMEOUT);
+        let open = &self.waves.open[&number];
+        let mut under_way = open.ordered.len();
+        let mut candidates = Vec::new();
+        for name in &open.wave.hosts {
+            let Some(host) = self.hosts.list.get(name) else {
+                continue;
+            };
+            let begun = self.waves.begun.get(name).copied();
+            let recent = begun.is_some_and(|at| now.saturating_since(at) < ORDER_TIMEOUT);
+            if host.state == HostState::Maintained || (open.done.contains(name) && recent)
+            {
+                under_way += usize::from(!open.ordered.contains_key(name));
+                continue;
+            }
+            let free = !open.done.contains(name)
+                && !open.ordered.contains_key(name)
+                && host.state == HostState::Up
+                && !self.hosts.ordered.contains_key(name);
+            if free {
+                candidates.push(name.clone());
+            }
+        }
+        let room = open.wave.max_at_once.saturating_sub(under_way);
+        let (ready, busy): (Vec<String>, Vec<String>) = candidates
+            .into_iter()
+            .partition(|name| self.is_free_for_maintenance(name));
+        for name in ready.iter().take(room) {
+            self.order_maintenance(now, name, number, commands);
+        }
+        let left = room.saturating_sub(ready.len()).min(MAX_EMPTYING);
+        self.empty_hosts(&busy, left);
+    }
+
+    /// Returns whether maintenance of a host would end nothing.
+    fn is_free_for_maintenance(&self, name: &str) -> bool {
+        let Some(host) = self.hosts.list.get(name) else {
+            return false;
+        };
+        let standby = self
+            .configuration
+            .pool(&host.pool)
+            .is_some_and(|pool| pool.standby);
+        match self.endpoint_of(name) {
+            Some(key) => self.endpoints[key].is_idle(),
+            None => standby,
+        }
+    }
+
+    fn order_maintenance(
+        &mut self,
+        now: Instant,
+        name: &str,
+        number: u64,
+        commands: &mut Vec<Command>,
+    ) {
+        if let Some(key) = self.endpoint_of(name) {
+            self.endpoints[key].emptying = true;
+        }
+        if let Some(open) = self.waves.open.get_mut(&number) {
+            open.ordered.insert(name.to_owned(), now);
+        }
+        self.notes.push(Note::HostMaintained {
+            host: name.to_owned(),
+            wave: number,
+        });
+        commands.push(Command::Maintain(Upkeep {
+            host: name.to_owned(),
+            wave: number,
+        }));
+    }
+
+    /// Lets the hosts with the least work run empty, up to `most` at once.
+    fn empty_hosts(&mut self, busy: &[String], most: usize) {
+        let mut known: Vec<(bool, usize, u64, EndpointKey)> = busy
+            .iter()
+            .filter_map(|name| self.endpoint_of(name))
+            .map(|key| {
+                let endpoint = &self.endpoints[key];
+                let lasting = self.lasting_runs(key);
+                (!endpoint.emptying, lasting, endpoint.used.cpu, key)
+            })
+            .collect();
+        known.sort_unstable();
+        for &(_, _, _, key) in known.iter().take(most) {
+            self.endpoints[key].emptying = true;
+        }
+    }
+
+    /// Has tasks that last moved off endpoints that are being emptied or are leaving.
+    fn evacuate(&mut self, now: Instant) {
+        let leaving: Vec<EndpointKey> = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.emptying || endpoint.report.draining)
+            .map(|(key, _)| key)
+            .collect();
+        for key in leaving {
+            let draining = self.endpoints[key].report.draining;
+            let runs: Vec<RunKey> = self.endpoints[key].runs.iter().copied().collect();
+            for run in runs {
+                let Some(task) = self.runs[run].task else {
+                    continue;
+                };
+                let running = matches!(self.runs[run].phase, Phase::Running(_));
+                if !running || !self.step(task).long_running {
+                    continue;
+                }
+                if draining || self.may_be_away(task) {
+                    self.stop(now, run, "its host is being emptied");
+                }
+            }
+        }
+    }
+
+    /// Returns whether one more task of a step may be away through our orders.
+    pub(super) fn may_be_away(&self, task: TaskRef) -> bool {
+        let Some(most) = self.step(task).max_unavailable else {
+            return true;
+        };
+        let Some(occurrence) = self.jobs[task.job].occurrences.get(&task.occurrence)
+        else {
+            return false;
+        };
+        let group = &occurrence.groups[task.step as usize];
+        let away = |place: &Task| !place.runs.iter().any(|&run| self.is_at_work(run));
+        let count = group.tasks.iter().filter(|place| away(place)).count();
+        count < most as usize
+    }
+
+    fn is_at_work(&self, run: RunKey) -> bool {
+        let run = &self.runs[run];
+        matches!(run.phase, Phase::Running(_)) && run.percent >= 100
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gate;
 mod hash;
 pub mod health;
+pub mod job;
 pub mod maintenance;
 pub mod member;
 pub mod placement;
--- /dev/null
+++ b/crates/dispatch/src/clock.rs
@@ -0,0 +1,23 @@
+//! The process's clocks.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use rhubarbrill_core::time::{Instant, Timestamp};
+use rustix::time::{ClockId, clock_gettime};
+
+/// Reads the steady clock, which also counts the time for which the machine was suspended,
+/// so that a lease is over for a process that wakes up after it.
+pub fn now() -> Instant {
+    let reading = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(reading.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(reading.tv_nsec).unwrap_or(0);
+    Instant::from_micros(seconds * 1_000_000 + nanos / 1_000)
+}
+
+/// Reads the time of day.
+pub fn wall() -> Timestamp {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Timestamp::from_millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/dispatch/src/front/request.rs
@@ -0,0 +1,273 @@
+//! Requests of callers: routing, keys, and what they ask for.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, HOST};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rhubarbrill_core::job::Configuration;
+use rhubarbrill_core::job::configuration::Queue;
+use rhubarbrill_core::job::record::State;
+use rhubarbrill_event::Event;
+use slog::o;
+
+use super::Answer;
+use super::submit::{self, Cancelled, Lookup};
+use crate::edge::{Bodies, Platform};
+use crate::metrics::Labels;
+use crate::node::Node;
+use crate::{clock, event};
+
+/// When a caller may come back to an entry host that knows no configuration yet.
+const STARTING_RETRY: Duration = Duration::from_secs(1);
+
+/// Longest time that a request waits where its caller sets no deadline.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
+
+/// Part of a caller's deadline that is kept for the answer's way back.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+
+/// Header in which callers say how long they wait, in milliseconds.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+/// Length of a job's identity, in hexadecimal digits.
+const ID_DIGITS: usize = 16;
+
+/// Answers callers' requests.
+#[derive(Debug)]
+pub struct Service<P> {
+    node: Rc<Node<P>>,
+}
+
+/// A request whose queue and workspace are known.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) queue: Queue,
+    pub(super) workspace: Option<String>,
+    /// Identity of the job; empty for the queue itself.
+    pub(super) id: String,
+    /// Longest time until the answer.
+    pub(super) patience: Duration,
+    max_body_bytes: usize,
+    kind: &'static str,
+}
+
+impl<P: Platform> Service<P> {
+    /// Returns a service that answers from what `node` knows.
+    pub const fn new(node: Rc<Node<P>>) -> Self {
+        Self { node }
+    }
+
+    /// Answers one request.
+    pub async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let began = clock::now();
+        let (head, body) = request.into_parts();
+        let call = self.call(&head.method, head.uri.path(), &head.headers);
+        let (call, answer) = match call {
+            Ok(call) => {
+                let answer = self.carry_out(&head.method, &call, body).await;
+                (Some(call), answer)
+            }
+            Err(answer) => (None, answer),
+        };
+        let latency = clock::now().saturating_since(began);
+        self.report(&head, call.as_ref(), &answer, latency);
+        answer.into_response(self.node.platform.bodies().media_type())
+    }
+
+    /// Finds what a request is about, or why it is refused.
+    fn call(
+        &self,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+    ) -> Result<Call, Answer> {
+        let Some(configuration) = self.node.configuration() else {
+            let answer =
+                self.refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+            return Err(answer.with_retry_after(STARTING_RETRY));
+        };
+        let host = headers
+            .get(HOST)
+            .and_then(|host| host.to_str().ok())
+            .unwrap_or("");
+        let host = host.split(':').next().unwrap_or(host);
+        let Some(queue) = configuration.route(host, path) else {
+            return Err(self.refuse(StatusCode::NOT_FOUND, "no such queue"));
+        };
+        let workspace = self.workspace(&configuration, queue, headers)?;
+        let id = path[queue.prefix.len()..].to_ascii_lowercase();
+        let kind = match *method {
+            Method::POST => "submit",
+            Method::GET if id.is_empty() => "pending",
+            Method::GET => "state",
+            Method::DELETE => "cancel",
+            _ => {
+                return Err(
+                    self.refuse(StatusCode::METHOD_NOT_ALLOWED, "method not known")
+                );
+            }
+        };
+        let is_id =
+            id.len() == ID_DIGITS && id.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if !is_id && kind != "pending" {
+            return Err(self.refuse(StatusCode::NOT_FOUND, "no job's identity"));
+        }
+        Ok(Call {
+            queue: queue.clone(),
+            workspace,
+            id,
+            patience: patience(headers),
+            max_body_bytes: configuration.max_body_bytes,
+            kind,
+        })
+    }
+
+    fn workspace(
+        &self,
+        configuration: &Configuration,
+        queue: &Queue,
+        headers: &HeaderMap,
+    ) -> Result<Option<String>, Answer> {
+        if queue.public {
+            return Ok(None);
+        }
+        let key = headers
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "));
+        let holder = key.and_then(|key| configuration.holder(key));
+        match holder {
+            Some(workspace) => Ok(Some(workspace.name.clone())),
+            None => Err(self.refuse(StatusCode::UNAUTHORIZED, "key not known")),
+        }
+    }
+
+    async fn carry_out(&self, method: &Method, call: &Call, body: Incoming) -> Answer {
+        match *method {
+            Method::POST => self.submit(call, body).await,
+            Method::DELETE => self.cancel(call).await,
+            _ if call.id.is_empty() => self.pending(call),
+            _ => self.state(call).await,
+        }
+    }
+
+    async fn submit(&self, call: &Call, body: Incoming) -> Answer {
+        let limited = Limited::new(body, call.max_body_bytes);
+        let body = match tokio::time::timeout(call.patience, limited.collect()).await {
+            Err(_) => {
+                return self.refuse(StatusCode::REQUEST_TIMEOUT, "body not in time");
+            }
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                return self.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+            }
+            Ok(Err(_)) => return self.refuse(StatusCode::BAD_REQUEST, "body cut short"),
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        let spec = match self.node.platform.bodies().job(&body) {
+            Ok(spec) => spec,
+            Err(reason) => return self.bad_job(call, &reason),
+        };
+        if let Err(mistake) = spec.check() {
+            return self.bad_job(call, &mistake.to_string());
+        }
+        submit::submit(&self.node, call, spec).await
+    }
+
+    fn bad_job(&self, call: &Call, reason: &str) -> Answer {
+        let fields = o!("job" => call.id.clone(), "reason" => reason.to_owned());
+        event::log(&self.node.log, Event::JobUnreadable, fields);
+        Answer::new(StatusCode::BAD_REQUEST, "job not readable")
+            .with_body(self.node.platform.bodies().refusal(reason))
+    }
+
+    async fn cancel(&self, call: &Call) -> Answer {
+        match submit::cancel(&self.node, call).await {
+            Cancelled::Done => Answer::new(StatusCode::OK, "cancelled"),
+            Cancelled::NoSuchJob => self.refuse(StatusCode::GONE, "no such job"),
+            Cancelled::Unknown => {
+                self.refuse(StatusCode::GATEWAY_TIMEOUT, "the store didn't answer")
+            }
+        }
+    }
+
+    async fn state(&self, call: &Call) -> Answer {
+        match submit::look_up(&self.node, call).await {
+            Lookup::Found(state) => self.show(state),
+            Lookup::NoSuchJob => self.refuse(StatusCode::GONE, "no such job"),
+            Lookup::Unknown => {
+                self.refuse(StatusCode::GATEWAY_TIMEOUT, "the store didn't answer")
+            }
+        }
+    }
+
+    fn show(&self, state: State) -> Answer {
+        let body = self.node.platform.bodies().state(state);
+        Answer::new(StatusCode::OK, "state shown").with_body(body)
+    }
+
+    fn pending(&self, call: &Call) -> Answer {
+        let view = self.node.view.borrow();
+        let waiting = view.jobs.values().filter(|job| {
+            let record = job.record.as_ref();
+            record.is_some_and(|record| record.value.queue == call.queue.name)
+                && job.state() == State::Queued
+        });
+        let body = self.node.platform.bodies().pending(waiting.count());
+        Answer::new(StatusCode::OK, "pending shown").with_body(body)
+    }
+
+    fn refuse(&self, status: StatusCode, reason: &'static str) -> Answer {
+        Answer::new(status, reason).with_body(self.node.platform.bodies().refusal(reason))
+    }
+
+    fn report(
+        &self,
+        head: &http::request::Parts,
+        call: Option<&Call>,
+        answer: &Answer,
+        latency: Duration,
+    ) {
+        let labels = Labels {
+            queue: call.map_or("", |call| &call.queue.name),
+            workspace: call
+                .and_then(|call| call.workspace.as_deref())
+                .unwrap_or(""),
+            kind: call.map_or("refused", |call| call.kind),
+        };
+        let status = answer.status.as_u16();
+        self.node.metrics.request(&labels, status, latency);
+        let shown =
+            matches!(labels.kind, "state" | "pending") && answer.status.is_success();
+        if shown {
+            // Nothing was decided.
+            return;
+        }
+        let view = self.node.view.borrow();
+        let version = view.configuration.as_ref().map_or(0, |held| held.version);
+        let fields = o!(
+            "method" => head.method.to_string(),
+            "path" => head.uri.path().to_owned(),
+            "queue" => labels.queue.to_owned(),
+            "workspace" => labels.workspace.to_owned(),
+            "status" => status,
+            "reason" => answer.reason,
+            "latency_ms" => u64::try_from(latency.as_millis()).unwrap_or(u64::MAX),
+            "configuration" => version,
+            "as_of" => view.as_of,
+        );
+        event::log(&self.node.log, Event::RequestAnswered, fields);
+    }
+}
+
+fn patience(headers: &HeaderMap) -> Duration {
+    let asked = headers
+        .get(DEADLINE_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok())
+        .map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    asked.saturating_sub(DEADLINE_MARGIN)
+}
--- /dev/null
+++ b/crates/dispatch/src/front/submit.rs
@@ -0,0 +1,250 @@
+//! Submissions, cancellations and questions that need the store.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use rhubarbrill_core::job::record::{Record, State, Submission};
+use rhubarbrill_core::job::{Progress, Spec};
+use rhubarbrill_core::time::Instant;
+
+use super::Answer;
+use super::request::Call;
+use crate::edge::{
+    Bodies, Committed, Condition, Failure, Item, Platform, Store, Transaction, Write,
+};
+use crate::node::Node;
+use crate::{clock, key};
+
+/// When a caller may come back after the store turned a submission away.
+const STORE_RETRY: Duration = Duration::from_secs(1);
+
+/// Pause before the store is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// How a cancellation ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Cancelled {
+    /// It is in the store.
+    Done,
+    /// There is no such job.
+    NoSuchJob,
+    /// The store gave no answer.
+    Unknown,
+}
+
+/// What is known of a job that a caller asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Lookup {
+    /// Its state.
+    Found(State),
+    /// There is no such job.
+    NoSuchJob,
+    /// The store gave no answer.
+    Unknown,
+}
+
+/// Puts a job into the store.
+pub(super) async fn submit<P: Platform>(
+    node: &Node<P>,
+    call: &Call,
+    spec: Spec,
+) -> Answer {
+    if known_state(node, &call.id).is_some() {
+        return Answer::new(StatusCode::OK, "accepted before");
+    }
+    let record = Record {
+        queue: call.queue.name.clone(),
+        pool: call.queue.pool.clone(),
+        workspace: call.workspace.clone(),
+        submitted: clock::wall(),
+        spec,
+    };
+    let submission = Submission::Accepted(Box::new(record));
+    let value = match serde_json::to_vec(&submission) {
+        Ok(value) => value,
+        Err(error) => {
+            let body = node.platform.bodies().refusal(&error.to_string());
+            return Answer::new(StatusCode::BAD_REQUEST, "job not writable")
+                .with_body(body);
+        }
+    };
+    let deadline = clock::now() + call.patience;
+    write(node, &call.id, value, deadline).await
+}
+
+/// Writes a submission until it is certain what became of it, or the deadline passes.
+async fn write<P: Platform>(
+    node: &Node<P>,
+    id: &str,
+    value: Vec<u8>,
+    deadline: Instant,
+) -> Answer {
+    let mut revision = 0;
+    let mut doubtful = false;
+    while clock::now() < deadline {
+        let transaction = Transaction {
+            conditions: vec![Condition {
+                key: key::job(id),
+                revision,
+            }],
+            writes: vec![Write::Own {
+                key: key::job(id),
+                value: value.clone(),
+                lease: None,
+            }],
+            removals: Vec::new(),
+        };
+        match node.platform.store().commit(&transaction).await {
+            Ok(Committed::Done(_)) => {
+                node.metrics.store_write("done");
+                return Answer::new(StatusCode::OK, "accepted");
+            }
+            Ok(Committed::Conflict(items)) => match found(&items) {
+                Found::Accepted => return Answer::new(StatusCode::OK, "accepted before"),
+                Found::Marker(at) => revision = at,
+            },
+            Ok(Committed::LeaseGone) => return unanswered(node),
+            Err(Failure::NotDone(_) | Failure::Compacted) if !doubtful => {
+                node.metrics.store_write("not done");
+                return turned_away(node);
+            }
+            Err(Failure::NotDone(_) | Failure::Compacted) => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            Err(Failure::Unknown(_)) => {
+                node.metrics.store_write("unknown");
+                doubtful = true;
+            }
+        }
+    }
+    unanswered(node)
+}
+
+/// What stands under the identity of a submission that met another one.
+enum Found {
+    Accepted,
+    /// A marker of a refusal, or nothing, at this revision.
+    Marker(u64),
+}
+
+fn found(items: &[Item]) -> Found {
+    let Some(item) = items.first() else {
+        return Found::Marker(0);
+    };
+    let Some(value) = &item.value else {
+        return Found::Marker(0);
+    };
+    match serde_json::from_slice(value) {
+        Ok(Submission::Refused) => Found::Marker(item.revision),
+        Ok(Submission::Accepted(_)) | Err(_) => Found::Accepted,
+    }
+}
+
+fn turned_away<P: Platform>(node: &Node<P>) -> Answer {
+    let reason = "the store turned the job away";
+    Answer::new(StatusCode::SERVICE_UNAVAILABLE, reason)
+        .with_body(node.platform.bodies().refusal(reason))
+        .with_retry_after(STORE_RETRY)
+}
+
+fn unanswered<P: Platform>(node: &Node<P>) -> Answer {
+    let reason = "the store didn't answer; the job may be accepted";
+    Answer::new(StatusCode::GATEWAY_TIMEOUT, reason)
+        .with_body(node.platform.bodies().refusal(reason))
+}
+
+/// Writes a cancellation.
+pub(super) async fn cancel<P: Platform>(node: &Node<P>, call: &Call) -> Cancelled {
+    let deadline = clock::now() + call.patience;
+    let known = known_state(node, &call.id);
+    if known.is_some_and(State::is_final) {
+        return Cancelled::Done;
+    }
+    let mut revision = job_revision(node, &call.id);
+    while clock::now() < deadline {
+        let Some(at) = revision else {
+            match read(node, &call.id).await {
+                Ok(Some((_, at))) => revision = Some(at),
+                Ok(None) => return Cancelled::NoSuchJob,
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+            continue;
+        };
+        let transaction = Transaction {
+            conditions: vec![Condition {
+                key: key::job(&call.id),
+                revision: at,
+            }],
+            writes: vec![Write::Own {
+                key: key::cancellation(&call.id),
+                value: Vec::new(),
+                lease: None,
+            }],
+            removals: Vec::new(),
+        };
+        match node.platform.store().commit(&transaction).await {
+            Ok(Committed::Done(_)) => return Cancelled::Done,
+            Ok(Committed::Conflict(_) | Committed::LeaseGone) => revision = None,
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+    Cancelled::Unknown
+}
+
+/// Finds the state of a job, in the store if the copy doesn't know it.
+pub(super) async fn look_up<P: Platform>(node: &Node<P>, call: &Call) -> Lookup {
+    if let Some(state) = known_state(node, &call.id) {
+        return Lookup::Found(state);
+    }
+    let deadline = clock::now() + call.patience;
+    while clock::now() < deadline {
+        match read(node, &call.id).await {
+            Ok(None) => return Lookup::NoSuchJob,
+            Ok(Some(_)) => {
+                if let Ok(state) = read_state(node, &call.id).await {
+                    return Lookup::Found(state);
+                }
+            }
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+    Lookup::Unknown
+}
+
+/// Reads an accepted job's record and revision.
+async fn read<P: Platform>(
+    node: &Node<P>,
+    id: &str,
+) -> Result<Option<(Submission, u64)>, Failure> {
+    let Some(item) = node.platform.store().get(&key::job(id)).await? else {
+        return Ok(None);
+    };
+    let value = item.value.unwrap_or_default();
+    match serde_json::from_slice(&value) {
+        Ok(Submission::Refused) => Ok(None),
+        Ok(accepted) => Ok(Some((accepted, item.revision))),
+        Err(error) => Err(Failure::NotDone(error.to_string())),
+    }
+}
+
+async fn read_state<P: Platform>(node: &Node<P>, id: &str) -> Result<State, Failure> {
+    let item = node.platform.store().get(&key::progress(id)).await?;
+    let Some(value) = item.and_then(|item| item.value) else {
+        return Ok(State::Queued);
+    };
+    let progress: Progress = serde_json::from_slice(&value)
+        .map_err(|error| Failure::NotDone(error.to_string()))?;
+    Ok(progress.state)
+}
+
+fn known_state<P>(node: &Node<P>, id: &str) -> Option<State> {
+    let view = node.view.borrow();
+    let job = view.jobs.get(id)?;
+    job.record.as_ref().map(|_| job.state())
+}
+
+fn job_revision<P>(node: &Node<P>, id: &str) -> Option<u64> {
+    let view = node.view.borrow();
+    let job = view.jobs.get(id)?;
+    job.record.as_ref().map(|record| record.revision)
+}
--- /dev/null
+++ b/crates/dispatch/src/lead.rs
@@ -0,0 +1,11 @@
+//! Leadership: one process at a time decides, under a lease in the store.
+
+mod authority;
+mod election;
+mod hosts;
+mod notes;
+mod orders;
+mod save;
+mod term;
+
+pub use election::campaign;
--- /dev/null
+++ b/crates/dispatch/src/lead/election.rs
@@ -0,0 +1,160 @@
+//! Who leads: the process that writes the leader's record while there is none.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rhubarbrill_core::job::scheduler::Term;
+use uuid::Uuid;
+
+use super::authority::Certainty;
+use super::term;
+use crate::edge::{
+    Committed, Condition, Failure, Item, Lease, Platform, Store, Transaction, Write,
+};
+use crate::node::Node;
+use crate::view::{Count, Leader};
+use crate::{clock, key};
+
+/// Term of the leader's lease: a new leader follows within it, and runs outlive it.
+const LEASE_TERM: Duration = Duration::from_millis(2_000);
+
+/// Time between two looks for a leader, beside those that changes cause.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Most that a candidate waits for the others, so that few compete.
+const MAX_STAGGER_MS: u64 = 160;
+
+/// Age of the copy of the store above which a process is no candidate.
+const MAX_AGE: Duration = Duration::from_millis(1_500);
+
+/// Tries to settle an election whose answer was lost.
+const SETTLE_TRIES: u32 = 4;
+
+/// A won election.
+#[derive(Debug)]
+pub(super) struct Mandate {
+    pub(super) term: Term,
+    pub(super) lease: Lease,
+    pub(super) certainty: Certainty,
+}
+
+/// Stands for election whenever there is no leader, and leads when elected, until the process
+/// is asked to stop.
+pub async fn campaign<P: Platform>(node: Rc<Node<P>>) {
+    let nonce = Uuid::new_v4().to_string();
+    while !node.stopping.is_cancelled() {
+        let look = tokio::time::timeout(LOOK_INTERVAL, node.changed.notified());
+        tokio::select! {
+            // Either way it is time to look.
+            _ = look => {}
+            () = node.stopping.cancelled() => return,
+        }
+        if !is_vacant(&node) {
+            continue;
+        }
+        tokio::time::sleep(stagger(&nonce)).await;
+        if !is_vacant(&node) || node.stopping.is_cancelled() {
+            continue;
+        }
+        if let Some(mandate) = stand(&node, &nonce).await {
+            term::lead(Rc::clone(&node), mandate).await;
+        }
+    }
+}
+
+fn is_vacant<P>(node: &Node<P>) -> bool {
+    let fresh = node
+        .store_age(clock::now())
+        .is_some_and(|age| age <= MAX_AGE);
+    let view = node.view.borrow();
+    fresh && view.leader.is_none() && view.configuration.is_some()
+}
+
+fn stagger(nonce: &str) -> Duration {
+    let mut hasher = DefaultHasher::new();
+    nonce.hash(&mut hasher);
+    Duration::from_millis(hasher.finish() % MAX_STAGGER_MS)
+}
+
+async fn stand<P: Platform>(node: &Node<P>, nonce: &str) -> Option<Mandate> {
+    let store = node.platform.store();
+    let sent = clock::now();
+    let term = LEASE_TERM.max(node.settings.min_lease);
+    // Without a lease there is no candidacy; the next look tries again.
+    let lease = store.grant(term).await.ok()?;
+    let certainty = Certainty::new(sent, lease.term);
+    let count = node.view.borrow().term.clone();
+    let number = count.as_ref().map_or(0, |count| count.value.number) + 1;
+    let leader = Leader {
+        name: node.settings.name.clone(),
+        nonce: nonce.to_owned(),
+    };
+    let leader = serde_json::to_vec(&leader).ok()?;
+    let transaction = Transaction {
+        conditions: vec![
+            condition(key::LEADER, 0),
+            condition(key::TERM, count.map_or(0, |count| count.revision)),
+        ],
+        writes: vec![
+            write(key::LEADER, leader.clone(), Some(lease.id)),
+            write(key::TERM, serde_json::to_vec(&Count { number }).ok()?, None),
+        ],
+        removals: Vec::new(),
+    };
+    let fence = settle(store, &transaction, &leader).await;
+    let Some(fence) = fence else {
+        // An unused lease ends by itself if this call is lost.
+        let _ = store.revoke(lease.id).await;
+        return None;
+    };
+    Some(Mandate {
+        term: Term {
+            fence,
+            number,
+            since: fence,
+        },
+        lease,
+        certainty,
+    })
+}
+
+/// Sends the transaction until it is certain whether it took effect, and returns the revision
+/// if it did.
+async fn settle<S: Store>(
+    store: &S,
+    transaction: &Transaction,
+    leader: &[u8],
+) -> Option<u64> {
+    for _ in 0..SETTLE_TRIES {
+        match store.commit(transaction).await {
+            Ok(Committed::Done(revision)) => return Some(revision),
+            Ok(Committed::Conflict(items)) => return own(&items, leader),
+            Ok(Committed::LeaseGone) | Err(Failure::NotDone(_) | Failure::Compacted) => {
+                return None;
+            }
+            Err(Failure::Unknown(_)) => {}
+        }
+    }
+    None
+}
+
+fn own(items: &[Item], leader: &[u8]) -> Option<u64> {
+    let item = items.iter().find(|item| item.key == key::LEADER)?;
+    (item.value.as_deref() == Some(leader)).then_some(item.revision)
+}
+
+fn condition(key: &str, revision: u64) -> Condition {
+    Condition {
+        key: key.to_owned(),
+        revision,
+    }
+}
+
+fn write(key: &str, value: Vec<u8>, lease: Option<u64>) -> Write {
+    Write::Own {
+        key: key.to_owned(),
+        value,
+        lease,
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lead/notes.rs
@@ -0,0 +1,136 @@
+//! The scheduler's notes as log lines.
+
+use rhubarbrill_core::job::scheduler::Note;
+use rhubarbrill_core::job::{End, Name};
+use rhubarbrill_event::Event;
+use slog::o;
+
+use crate::event;
+use crate::node::Node;
+
+/// Logs what the scheduler decided.
+pub(super) fn write<P>(node: &Node<P>, notes: Vec<Note>) {
+    for note in notes {
+        log(node, note);
+    }
+}
+
+fn log<P>(node: &Node<P>, note: Note) {
+    let out = &node.log;
+    match note {
+        Note::Placed {
+            name,
+            number,
+            endpoint,
+            free_cpu,
+        } => {
+            let fields = run(&name, number, endpoint, "");
+            event::log(out, Event::RunPlaced, o!("free_cpu" => free_cpu, fields));
+        }
+        Note::NotStarted {
+            name,
+            number,
+            endpoint,
+            reason,
+        } => event::log(
+            out,
+            Event::RunNotStarted,
+            run(&name, number, endpoint, reason),
+        ),
+        Note::Adopted {
+            name,
+            number,
+            endpoint,
+        } => event::log(out, Event::RunAdopted, run(&name, number, endpoint, "")),
+        Note::Stopping {
+            name,
+            number,
+            endpoint,
+            reason,
+        } => event::log(
+            out,
+            Event::RunStopping,
+            run(&name, number, endpoint, reason),
+        ),
+        Note::Ended {
+            name,
+            number,
+            endpoint,
+            end,
+        } => ended(node, &name, number, endpoint, end),
+        Note::Gone {
+            name,
+            number,
+            endpoint,
+            reason,
+        } => event::log(out, Event::RunGone, run(&name, number, endpoint, reason)),
+        Note::Finished { job, state, reason } => {
+            let state = format!("{state:?}");
+            let fields = o!("job" => job, "state" => state, "reason" => reason);
+            event::log(out, Event::JobFinished, fields);
+        }
+        Note::EndpointUp {
+            endpoint,
+            pool,
+            born,
+        } => {
+            let fields = o!("endpoint" => endpoint, "pool" => pool, "born" => born);
+            event::log(out, Event::EndpointUp, fields);
+        }
+        Note::EndpointLost {
+            endpoint,
+            reason,
+            runs,
+        } => {
+            let fields = o!("endpoint" => endpoint, "reason" => reason, "runs" => runs);
+            event::log(out, Event::EndpointLost, fields);
+        }
+        Note::EndpointRegained { endpoint } => {
+            event::log(out, Event::EndpointRegained, o!("endpoint" => endpoint));
+        }
+        Note::HostMoves {
+            host,
+            from,
+            to,
+            needed_cpu,
+            held_cpu,
+        } => {
+            let fields = o!(
+                "host" => host,
+                "from" => from,
+                "to" => to,
+                "needed_cpu" => needed_cpu,
+                "held_cpu" => held_cpu,
+            );
+            event::log(out, Event::HostMoves, fields);
+        }
+        Note::HostMaintained { host, wave } => {
+            event::log(
+                out,
+                Event::HostMaintained,
+                o!("host" => host, "wave" => wave),
+            );
+        }
+    }
+}
+
+fn ended<P>(node: &Node<P>, name: &Name, number: u64, endpoint: String, end: End) {
+    node.metrics.run_ended(end.as_str());
+    let fields = run(name, number, endpoint, end.as_str());
+    event::log(&node.log, Event::RunEnded, fields);
+}
+
+fn run(
+    name: &Name,
+    number: u64,
+    endpoint: String,
+    reason: &'static str,
+) -> slog::OwnedKV<impl slog::SendSyncRefUnwindSafeKV + 'static> {
+    o!(
+        "job" => name.job.clone(),
+        "task" => name.to_string(),
+        "run" => number,
+        "endpoint" => endpoint,
+        "reason" => reason,
+    )
+}
--- /dev/null
+++ b/crates/dispatch/src/lead/orders.rs
@@ -0,0 +1,84 @@
+//! Orders to endpoints on their way.
+
+use std::rc::Rc;
+
+use rhubarbrill_core::job::scheduler::{
+    Authority, Held, Hold, Pace, Settled, Start, Stop,
+};
+
+use super::term::{Message, Shared};
+use crate::edge::{Endpoints, Platform};
+
+/// Sends an order to start, if the leadership is still certain.
+pub(super) fn start<P: Platform>(shared: &Rc<Shared<P>>, order: Start) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let settled = if is_certain(&shared) {
+            shared.node.platform.endpoints().start(&order).await
+        } else {
+            Settled::NotSent
+        };
+        shared.node.metrics.order("start", outcome(settled));
+        answer(&shared, Message::Started(order.run, settled));
+    });
+}
+
+/// Sends an order to stop.
+pub(super) fn stop<P: Platform>(shared: &Rc<Shared<P>>, order: Stop) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let settled = if is_certain(&shared) {
+            shared.node.platform.endpoints().stop(&order).await
+        } else {
+            Settled::NotSent
+        };
+        shared.node.metrics.order("stop", outcome(settled));
+        answer(&shared, Message::Stopped(order.run, settled));
+    });
+}
+
+/// Sends an order to hold.
+pub(super) fn hold<P: Platform>(shared: &Rc<Shared<P>>, order: Hold) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let held = shared.node.platform.endpoints().hold(&order).await;
+        let name = match &held {
+            Held::Reported(_) => "done",
+            Held::Not(settled) => outcome(*settled),
+        };
+        shared.node.metrics.order("hold", name);
+        answer(&shared, Message::Held(order.endpoint, order.sent, held));
+    });
+}
+
+/// Sends an order to change the pace of a run.
+pub(super) fn pace<P: Platform>(shared: &Rc<Shared<P>>, order: Pace) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        if is_certain(&shared) {
+            let settled = shared.node.platform.endpoints().pace(&order).await;
+            // A lost change is made up for by the next look at the endpoint.
+            shared.node.metrics.order("pace", outcome(settled));
+        }
+    });
+}
+
+fn is_certain<P>(shared: &Shared<P>) -> bool {
+    shared.mandate.certainty.authority() == Authority::Certain
+}
+
+pub(super) fn answer<P>(shared: &Shared<P>, message: Message) {
+    // After the term nobody waits for answers any more.
+    let _ = shared.answers.send(message);
+}
+
+const fn outcome(settled: Settled) -> &'static str {
+    match settled {
+        Settled::Done(_) => "done",
+        Settled::Rejected(rejection, _) => rejection.as_str(),
+        Settled::Replaced => "replaced",
+        Settled::NotSent => "not sent",
+        Settled::Unreachable => "unreachable",
+        Settled::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lead/save.rs
@@ -0,0 +1,145 @@
+//! The leader's writes to the store, each on condition that it still leads.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use rhubarbrill_core::job::scheduler::{Ending, Save, Wave, WaveState};
+use rhubarbrill_event::Event;
+use serde::Serialize;
+use slog::o;
+
+use super::orders::answer;
+use super::term::{Message, Shared};
+use crate::edge::{Committed, Condition, Platform, Store, Transaction, Write};
+use crate::view::WaveRecord;
+use crate::{event, key};
+
+/// Writes progress.
+pub(super) fn progress<P: Platform>(shared: &Rc<Shared<P>>, saves: Vec<Save>) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let ending = write(&shared, &saves).await;
+        answer(&shared, Message::Saved(saves, ending));
+    });
+}
+
+async fn write<P: Platform>(shared: &Shared<P>, saves: &[Save]) -> Ending {
+    let mut conditions = vec![leadership(shared)];
+    let mut writes = Vec::with_capacity(saves.len());
+    for save in saves {
+        conditions.push(Condition {
+            key: key::progress(&save.id),
+            revision: save.version,
+        });
+        writes.extend(own(shared, key::progress(&save.id), &save.progress));
+    }
+    let transaction = Transaction {
+        conditions,
+        writes,
+        removals: Vec::new(),
+    };
+    match shared.node.platform.store().commit(&transaction).await {
+        Ok(Committed::Done(revision)) => {
+            shared.node.metrics.store_write("done");
+            Ending::Saved(revision)
+        }
+        Ok(Committed::Conflict(items)) => {
+            shared.node.metrics.store_write("conflict");
+            let leader = items.iter().find(|item| item.key == key::LEADER);
+            if leader.is_some_and(|item| item.revision != shared.mandate.term.fence) {
+                shared.mandate.certainty.end();
+            }
+            let version = |save: &Save| {
+                let wanted = key::progress(&save.id);
+                let item = items.iter().find(|item| item.key == wanted)?;
+                Some((save.job, item.revision))
+            };
+            Ending::Conflict(saves.iter().filter_map(version).collect())
+        }
+        Ok(Committed::LeaseGone) => Ending::Unknown,
+        Err(failure) => {
+            shared.node.metrics.store_write("failed");
+            let fields = o!("reason" => failure.to_string(), "jobs" => saves.len());
+            event::log(&shared.node.log, Event::SaveFailed, fields);
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            Ending::Unknown
+        }
+    }
+}
+
+/// Writes a wave's state for operators, and records it.
+pub(super) fn report_wave<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    wave: Wave,
+    state: WaveState,
+    done: BTreeSet<String>,
+) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let record = WaveRecord {
+            done,
+            completed: state == WaveState::Completed,
+        };
+        let mut writes = vec![Write::WaveState(wave.number, state)];
+        writes.extend(own(&shared, key::wave(wave.number), &record));
+        let written = commit(&shared, writes).await;
+        let fields = o!(
+            "wave" => wave.number,
+            "state" => format!("{state:?}"),
+            "hosts" => record.done.len(),
+            "written" => written,
+        );
+        event::log(&shared.node.log, Event::WaveReported, fields);
+        answer(&shared, Message::WaveReported(wave, state, written));
+    });
+}
+
+/// Records which hosts of a wave have had their maintenance.
+pub(super) fn record_wave<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    wave: u64,
+    done: BTreeSet<String>,
+    completed: bool,
+) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let record = WaveRecord { done, completed };
+        let writes = own(&shared, key::wave(wave), &record).into_iter().collect();
+        if !commit(&shared, writes).await {
+            let fields = o!("reason" => "a wave's record wasn't written", "wave" => wave);
+            event::log(&shared.node.log, Event::SaveFailed, fields);
+        }
+    });
+}
+
+async fn commit<P: Platform>(shared: &Shared<P>, writes: Vec<Write>) -> bool {
+    let transaction = Transaction {
+        conditions: vec![leadership(shared)],
+        writes,
+        removals: Vec::new(),
+    };
+    let committed = shared.node.platform.store().commit(&transaction).await;
+    matches!(committed, Ok(Committed::Done(_)))
+}
+
+fn leadership<P>(shared: &Shared<P>) -> Condition {
+    Condition {
+        key: key::LEADER.to_owned(),
+        revision: shared.mandate.term.fence,
+    }
+}
+
+fn own<P, T: Serialize>(shared: &Shared<P>, key: String, value: &T) -> Option<Write> {
+    match serde_json::to_vec(value) {
+        Ok(value) => Some(Write::Own {
+            key,
+            value,
+            lease: None,
+        }),
+        Err(error) => {
+            let fields = o!("reason" => error.to_string(), "key" => key);
+            event::log(&shared.node.log, Event::SaveFailed, fields);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/metrics.rs
@@ -0,0 +1,121 @@
+//! Counters and latency histograms, read at the metrics address.
+
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the latency histograms, in seconds.
+const BOUNDS_S: [f64; 12] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+];
+
+/// Counts and histograms of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    orders: Counter<u64>,
+    ends: Counter<u64>,
+    store_calls: Counter<u64>,
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Returns metrics without any reading yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exporter can't be set up.
+    pub fn try_new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .wrap_err("the metrics exporter can't be set up")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("rhubarbrill");
+        let counter = |name, what| meter.u64_counter(name).with_description(what).build();
+        Ok(Self {
+            requests: counter(
+                "rhubarbrill_job_requests",
+                "Callers' requests by queue, workspace, kind and status",
+            ),
+            latency: meter
+                .f64_histogram("rhubarbrill_job_request_latency")
+                .with_description("From a request's head to the head of its answer")
+                .with_unit("s")
+                .with_boundaries(BOUNDS_S.to_vec())
+                .build(),
+            orders: counter(
+                "rhubarbrill_orders",
+                "Orders to endpoints by kind and outcome",
+            ),
+            ends: counter("rhubarbrill_run_ends", "Ends of runs by how they ended"),
+            store_calls: counter(
+                "rhubarbrill_store_writes",
+                "Writes to the store by outcome",
+            ),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Records the end of a caller's request.
+    pub fn request(&self, labels: &Labels<'_>, status: u16, latency: Duration) {
+        let mut values = vec![
+            KeyValue::new("queue", labels.queue.to_owned()),
+            KeyValue::new("workspace", labels.workspace.to_owned()),
+            KeyValue::new("kind", labels.kind),
+        ];
+        self.latency.record(latency.as_secs_f64(), &values);
+        values.push(KeyValue::new("status", i64::from(status)));
+        self.requests.add(1, &values);
+    }
+
+    /// Counts an order and its outcome.
+    pub fn order(&self, kind: &'static str, outcome: &'static str) {
+        let values = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.orders.add(1, &values);
+    }
+
+    /// Counts the end of a run.
+    pub fn run_ended(&self, end: &'static str) {
+        self.ends.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts a write to the store.
+    pub fn store_write(&self, outcome: &'static str) {
+        self.store_calls
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Returns every reading in the Prometheus text form.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a reading can't be written out.
+    pub fn render(&self) -> Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+/// What a request was about.
+#[derive(Clone, Copy, Debug)]
+pub struct Labels<'a> {
+    /// Name of its queue.
+    pub queue: &'a str,
+    /// Name of its workspace.
+    pub workspace: &'a str,
+    /// What it asked for.
+    pub kind: &'static str,
+}
--- /dev/null
+++ b/crates/dispatch/src/process.rs
@@ -0,0 +1,125 @@
+//! A whole process: its tasks, their start and their planned stop.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use rhubarbrill_event::Event;
+use slog::{Logger, o};
+use tokio::task::LocalSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::edge::Platform;
+use crate::front::{Listener, Options, Service, serve_status};
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::settings::Settings;
+use crate::{event, lead, sync};
+
+/// Most connections of callers; far below the descriptors that hosts allow.
+const MAX_CONNECTIONS: usize = 1_500;
+
+/// Most connections of the balancer and of readers of metrics.
+const MAX_STATUS_CONNECTIONS: usize = 32;
+
+/// Longest time until a request's header is complete.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Largest header of a request, in bytes.
+const MAX_HEADER_BYTES: usize = 16_384;
+
+/// Time between the word to the balancer and the closed listener of a planned stop: the
+/// balancer asks each second and believes the second answer.
+const UNREADY_PAUSE: Duration = Duration::from_millis(2_200);
+
+/// Part of the grace that is kept for the end of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Runs an entry host until `stopping`, then ends open requests.
+///
+/// # Errors
+///
+/// Fails when an address can't be listened on or the metrics can't be set up.
+pub async fn run<P: Platform>(
+    platform: P,
+    settings: Settings,
+    log: Logger,
+    stopping: CancellationToken,
+) -> Result<()> {
+    LocalSet::new()
+        .run_until(serve(platform, settings, log, stopping))
+        .await
+}
+
+async fn serve<P: Platform>(
+    platform: P,
+    settings: Settings,
+    log: Logger,
+    stopping: CancellationToken,
+) -> Result<()> {
+    let callers = listen(settings.callers, MAX_CONNECTIONS).await?;
+    let readiness = listen(settings.readiness, MAX_STATUS_CONNECTIONS).await?;
+    let metrics = listen(settings.metrics, MAX_STATUS_CONNECTIONS).await?;
+    let node = Rc::new(Node::new(
+        platform,
+        settings,
+        log,
+        Metrics::try_new()?,
+        stopping,
+    ));
+    let fields = o!("callers" => node.settings.callers.to_string());
+    event::log(&node.log, Event::Started, fields);
+    tokio::task::spawn_local(sync::follow(Rc::clone(&node)));
+    tokio::task::spawn_local(serve_status(Rc::clone(&node), readiness));
+    tokio::task::spawn_local(serve_status(Rc::clone(&node), metrics));
+    let leading = tokio::task::spawn_local(lead::campaign(Rc::clone(&node)));
+    let closing = CancellationToken::new();
+    let open = tokio::task::spawn_local(serve_callers(
+        Rc::clone(&node),
+        callers,
+        closing.clone(),
+    ));
+    node.stopping.cancelled().await;
+    event::log(&node.log, Event::Draining, o!());
+    // Leadership ends first, so that another process takes over while requests end here.
+    leading.await.wrap_err("the leader's task failed")?;
+    tokio::time::sleep(UNREADY_PAUSE).await;
+    closing.cancel();
+    let open = open.await.wrap_err("the listener's task failed")?;
+    let what = if open == 0 {
+        Event::Stopped
+    } else {
+        Event::DrainTimeout
+    };
+    event::log(&node.log, what, o!("open" => open));
+    Ok(())
+}
+
+async fn listen(
+    address: std::net::SocketAddr,
+    max_connections: usize,
+) -> Result<Listener> {
+    let options = Options {
+        max_connections,
+        header_timeout: HEADER_TIMEOUT,
+        max_header_bytes: MAX_HEADER_BYTES,
+    };
+    Listener::bind(address, options)
+        .await
+        .wrap_err_with(|| format!("can't listen on {address}"))
+}
+
+async fn serve_callers<P: Platform>(
+    node: Rc<Node<P>>,
+    listener: Listener,
+    closing: CancellationToken,
+) -> usize {
+    let grace = node.settings.stop_grace;
+    let patience = grace.saturating_sub(UNREADY_PAUSE + STOP_MARGIN);
+    let service = Rc::new(Service::new(node));
+    let answer = move |request| {
+        let service = Rc::clone(&service);
+        async move { service.answer(request).await }
+    };
+    listener.run(answer, closing, patience).await
+}
--- a/crates/platform/examples/store_cost.rs
+++ b/crates/edge/examples/store_cost.rs
@@ -1,12 +1,12 @@
 //! Prints what each call of the store costs on the wire and in time.
 //!
-//! Run with `cargo run --release -p rhubarbrill-platform --example store_cost`. The store is
+//! Run with `cargo run --release -p rhubarbrill-edge --example store_cost`. The store is
 //! the stand-in, so times are those of the adapter and the stand-in together.
 
 use std::time::{Duration, Instant};
 
-use rhubarbrill_platform::record::{self, Backoff, Decision};
-use rhubarbrill_platform::store::{Error, Expect, Gateway, Lease, Store, Swap};
+use rhubarbrill_edge::record::{self, Backoff, Decision};
+use rhubarbrill_edge::store::{Error, Expect, Gateway, Lease, Store, Swap};
 use rhubarbrill_standin::link::{Link, Traffic};
 use rhubarbrill_standin::platform;
 
--- a/crates/platform/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -48,14 +48,14 @@
 /// # Example
 ///
 /// ```
-/// use rhubarbrill_platform::hosts::{Reader, State};
+/// use rhubarbrill_edge::hosts::{Reader, State};
 /// use rhubarbrill_standin::platform::Hosts;
 ///
 /// let list = Hosts::start();
 /// list.set("h1", "127.0.0.1:9".parse().unwrap(), State::Leaving);
 /// let listing = Reader::new(list.url()).read()?;
 /// assert_eq!(listing.hosts[0].state, State::Leaving);
-/// # Ok::<(), rhubarbrill_platform::Error>(())
+/// # Ok::<(), rhubarbrill_edge::Error>(())
 /// ```
 #[derive(Debug)]
 pub struct Reader {
--- a/crates/platform/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -107,8 +107,8 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use rhubarbrill_platform::record::{self, Backoff, Decision, Outcome};
-/// use rhubarbrill_platform::store::Memory;
+/// use rhubarbrill_edge::record::{self, Backoff, Decision, Outcome};
+/// use rhubarbrill_edge::store::Memory;
 ///
 /// let store = Memory::new();
 /// let waits = || Backoff::new(Duration::from_millis(5), Duration::from_millis(80), 6);
@@ -122,7 +122,7 @@
 ///     assert!(!matches!(outcome, Outcome::Unknown(_)));
 /// }
 /// assert_eq!(record::read::<u32, _>(&store, "count")?.map(|r| r.value), Some(1));
-/// # Ok::<(), rhubarbrill_platform::store::Error>(())
+/// # Ok::<(), rhubarbrill_edge::store::Error>(())
 /// ```
 pub fn update<T, R, S, W, F>(
     store: &S,
--- a/crates/platform/src/record/backoff.rs
+++ b/crates/edge/src/record/backoff.rs
@@ -10,7 +10,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use rhubarbrill_platform::record::Backoff;
+/// use rhubarbrill_edge::record::Backoff;
 ///
 /// let first = Duration::from_millis(10);
 /// let waits: Vec<_> = Backoff::new(first, Duration::from_millis(25), 4).collect();
--- a/crates/platform/src/store/memory.rs
+++ b/crates/edge/src/store/memory.rs
@@ -21,7 +21,7 @@
 /// # Example
 ///
 /// ```
-/// use rhubarbrill_platform::store::{Expect, Memory, Store, Swap, Swapped};
+/// use rhubarbrill_edge::store::{Expect, Memory, Store, Swap, Swapped};
 ///
 /// let store = Memory::new();
 /// let swap = Swap {
@@ -32,7 +32,7 @@
 /// };
 /// assert!(matches!(store.swap(swap.clone())?, Swapped::Done(_)));
 /// assert!(matches!(store.swap(swap)?, Swapped::Conflict(Some(_))));
-/// # Ok::<(), rhubarbrill_platform::store::Error>(())
+/// # Ok::<(), rhubarbrill_edge::store::Error>(())
 /// ```
 #[derive(Clone, Debug)]
 pub struct Memory {
--- a/crates/platform/src/store/prefixed.rs
+++ b/crates/edge/src/store/prefixed.rs
@@ -9,7 +9,7 @@
 /// # Example
 ///
 /// ```
-/// use rhubarbrill_platform::store::{Expect, Memory, Prefixed, Store, Swap};
+/// use rhubarbrill_edge::store::{Expect, Memory, Prefixed, Store, Swap};
 ///
 /// let memory = Memory::new();
 /// let store = Prefixed::new(memory.clone(), "south/");
@@ -22,7 +22,7 @@
 /// store.swap(swap)?;
 /// assert!(memory.get("south/a")?.is_some());
 /// assert_eq!(store.get("a")?.unwrap().key, "a");
-/// # Ok::<(), rhubarbrill_platform::Error>(())
+/// # Ok::<(), rhubarbrill_edge::Error>(())
 /// ```
 #[derive(Clone, Debug)]
 pub struct Prefixed<S> {
--- a/crates/platform/tests/gateway.rs
+++ b/crates/edge/tests/gateway.rs
@@ -5,8 +5,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rhubarbrill_platform::record::{self, Backoff, Decision, Outcome};
-use rhubarbrill_platform::store::{
+use rhubarbrill_edge::record::{self, Backoff, Decision, Outcome};
+use rhubarbrill_edge::store::{
     Change, Effect, Error, Expect, Gateway, Store, Swap, Swapped,
 };
 use rhubarbrill_standin::Blackhole;
--- a/crates/platform/tests/hosts.rs
+++ b/crates/edge/tests/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
-use rhubarbrill_platform::hosts::{Reader, State};
+use rhubarbrill_edge::hosts::{Reader, State};
 use rhubarbrill_standin::platform::{Down, Hosts};
 use rstest::rstest;
 
--- a/crates/platform/tests/memory.rs
+++ b/crates/edge/tests/memory.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use rhubarbrill_platform::store::{Change, Entry, Expect, Lease, Memory, Store, Swap};
+use rhubarbrill_edge::store::{Change, Entry, Expect, Lease, Memory, Store, Swap};
 
 fn put(store: &Memory, key: &str, value: &[u8]) -> u64 {
     let expect = match store.get(key).unwrap() {
--- a/crates/platform/tests/record.rs
+++ b/crates/edge/tests/record.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use rhubarbrill_platform::record::{self, Backoff, Decision, Outcome};
-use rhubarbrill_platform::store::{
+use rhubarbrill_edge::record::{self, Backoff, Decision, Outcome};
+use rhubarbrill_edge::store::{
     Effect, Entry, Error, Expect, Lease, Listing, Memory, Store, Swap, Swapped, memory,
 };
 use rstest::rstest;
--- a/crates/platform/tests/store.rs
+++ b/crates/edge/tests/store.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rhubarbrill_platform::store::{
+use rhubarbrill_edge::store::{
     Any, Change, Effect, Error, Expect, Gateway, Lease, MAX_VALUE_BYTES, Memory,
     Prefixed, Store, Swap, Swapped,
 };
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -76,6 +76,8 @@
         "Raise drain-timeout above the longest run time of any queue.";
     SettingsRefused = 105, Alarm,
         "The settings file has mistakes.", "Mend the lines that the message names.";
+    SettingsReread = 106, Info,
+        "The settings file was announced as changed.", "Nothing.";
     RevisionInForce = 200, Info,
         "A newer configuration revision is in force.", "Nothing.";
     RevisionRefused = 201, Warning,
@@ -92,6 +94,24 @@
     Replaced = 213, Alarm,
         "Another process runs under this entry host's name; this one stops.",
         "Give each entry host a name of its own.";
+    HistoryMissing = 220, Info,
+        "The store no longer keeps the changes since the last one seen; all is read again.",
+        "Nothing.";
+    LeaderSeen = 221, Info,
+        "The leader has changed.",
+        "If it repeats, check for long pauses of the leader's process and a slow store.";
+    ItemUnreadable = 222, Warning,
+        "An item in the store can't be read and is passed over.",
+        "Correct or remove the item that the line names.";
+    TermBegan = 230, Info,
+        "This process leads.", "Nothing.";
+    TermUncertain = 231, Warning,
+        "The leader's lease could not be renewed in time; it starts and moves nothing.",
+        "Check the store if it lasts.";
+    TermCertain = 232, Info,
+        "The leader's lease was renewed after a gap.", "Nothing.";
+    TermEnded = 233, Info,
+        "This process no longer leads.", "Nothing.";
     PeerUp = 300, Info,
         "A peer answers heartbeats.", "Nothing.";
     PeerDown = 301, Warning,
@@ -108,6 +128,12 @@
     AnswerCut = 402, Warning,
         "An endpoint's answer ended early; the caller's connection was closed.",
         "Check the endpoint if it repeats.";
+    EndpointUp = 410, Info,
+        "An endpoint has begun a life.", "Nothing.";
+    EndpointLost = 411, Warning,
+        "An endpoint is gone or doesn't answer.", "Check the host if it repeats.";
+    EndpointRegained = 412, Info,
+        "An endpoint answers again.", "Nothing.";
     RequestRefused = 500, Info,
         "A request was refused before it was sent.", "Nothing.";
     RequestFailed = 501, Warning,
@@ -127,6 +153,41 @@
     PlatformListUnreachable = 605, Warning,
         "The platform's host list gives no answer; the last one is used.",
         "Check the platform.";
+    WaveSeen = 606, Info,
+        "Operators ask for a wave of maintenance.", "Nothing.";
+    HostMoves = 607, Info,
+        "A host is told to join another pool.", "Nothing.";
+    HostMaintained = 608, Info,
+        "A host is told to begin its maintenance.", "Nothing.";
+    HostOrderFailed = 609, Warning,
+        "An order for a host was refused or got no answer.",
+        "Nothing: it is decided again. Check the hosts' platform if it repeats.";
+    WaveReported = 610, Info,
+        "The state of a wave was written for operators.", "Nothing.";
+    RequestAnswered = 700, Info,
+        "A caller's request was answered.", "Nothing.";
+    JobUnreadable = 701, Warning,
+        "A submitted job can't be read or has a mistake.",
+        "Tell the caller what the line names.";
+    JobFinished = 702, Info,
+        "A job is over.", "Nothing.";
+    RunPlaced = 710, Info,
+        "A run was placed on an endpoint.", "Nothing.";
+    RunNotStarted = 711, Warning,
+        "A run was rejected by its endpoint, or its start got no answer.",
+        "Check the endpoint if it repeats.";
+    RunAdopted = 712, Info,
+        "A run that an earlier leader started goes on.", "Nothing.";
+    RunStopping = 713, Info,
+        "A run is told to stop.", "Nothing.";
+    RunEnded = 714, Info,
+        "A run has ended.", "Nothing.";
+    RunGone = 715, Warning,
+        "A run is taken to be gone without a reported end.",
+        "Check the endpoint if it repeats.";
+    SaveFailed = 720, Warning,
+        "Progress could not be written to the store; it is written again.",
+        "Check the store if it repeats.";
 }
 
 impl Event {
--- a/crates/registry/examples/scale.rs
+++ b/crates/registry/examples/scale.rs
@@ -11,7 +11,7 @@
 use rhubarbrill_config::document::{Id, Kind, Section};
 use rhubarbrill_config::{Document, InForce};
 use rhubarbrill_core::time::Timestamp;
-use rhubarbrill_platform::store::{Memory, Store};
+use rhubarbrill_edge::store::{Memory, Store};
 use rhubarbrill_registry::configuration::{Configuration, Loaded, News, Proposal};
 
 const ROUNDS: u64 = 50;
--- a/crates/registry/src/allowance.rs
+++ b/crates/registry/src/allowance.rs
@@ -5,9 +5,9 @@
 use rhubarbrill_core::allowance::{
     Bank, Draft, Holder, Input, Ledger, Outcome, Reading, SHARDS, Shard,
 };
-use rhubarbrill_platform::Error;
-use rhubarbrill_platform::record::{self, Record, Written};
-use rhubarbrill_platform::store::Store;
+use rhubarbrill_edge::Error;
+use rhubarbrill_edge::record::{self, Record, Written};
+use rhubarbrill_edge::store::Store;
 
 /// Waits before a swap without an answer is sent again.
 const RETRY_WAITS: [Duration; 2] =
--- a/crates/registry/src/claim.rs
+++ b/crates/registry/src/claim.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use rhubarbrill_core::claim::{Place, Reply, Request, Shard, Terms};
-use rhubarbrill_platform::Error;
-use rhubarbrill_platform::record::{self, Backoff, Decision, Outcome, Record};
-use rhubarbrill_platform::store::Store;
+use rhubarbrill_edge::Error;
+use rhubarbrill_edge::record::{self, Backoff, Decision, Outcome, Record};
+use rhubarbrill_edge::store::Store;
 
 const FIRST_WAIT: Duration = Duration::from_millis(5);
 const LONGEST_WAIT: Duration = Duration::from_millis(80);
--- a/crates/registry/src/configuration.rs
+++ b/crates/registry/src/configuration.rs
@@ -22,7 +22,7 @@
 use rhubarbrill_config::{Delta, Document};
 use rhubarbrill_core::fleet::Fleet;
 use rhubarbrill_core::time::Timestamp;
-use rhubarbrill_platform::store::Store;
+use rhubarbrill_edge::store::Store;
 use uuid::Uuid;
 
 pub use error::Error;
--- a/crates/registry/src/configuration/accept.rs
+++ b/crates/registry/src/configuration/accept.rs
@@ -2,7 +2,7 @@
 
 use std::thread;
 
-use rhubarbrill_platform::store::{Entry, Expect, Store, Swap, Swapped};
+use rhubarbrill_edge::store::{Entry, Expect, Store, Swap, Swapped};
 
 use super::certain::Failure;
 use super::record::{HEAD_KEY, Head, Stored, parse, part_prefix, revision_key, write};
--- a/crates/registry/src/configuration/certain.rs
+++ b/crates/registry/src/configuration/certain.rs
@@ -2,8 +2,8 @@
 
 use std::thread;
 
-use rhubarbrill_platform::record::Backoff;
-use rhubarbrill_platform::store::{self, Effect, Entry, Store, Swap, Swapped};
+use rhubarbrill_edge::record::Backoff;
+use rhubarbrill_edge::store::{self, Effect, Entry, Store, Swap, Swapped};
 
 use super::{Configuration, MAX_WAIT};
 
--- a/crates/registry/src/configuration/content.rs
+++ b/crates/registry/src/configuration/content.rs
@@ -2,7 +2,7 @@
 
 use rhubarbrill_config::Delta;
 use rhubarbrill_config::document::{Id, Section};
-use rhubarbrill_platform::store::{Expect, Store, Swap, Swapped};
+use rhubarbrill_edge::store::{Expect, Store, Swap, Swapped};
 use uuid::Uuid;
 
 use super::certain::Failure;
--- a/crates/registry/src/configuration/error.rs
+++ b/crates/registry/src/configuration/error.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use rhubarbrill_platform::store;
+use rhubarbrill_edge::store;
 
 /// Why the configuration couldn't be read or changed.
 #[derive(Clone, Debug)]
--- a/crates/registry/src/configuration/load.rs
+++ b/crates/registry/src/configuration/load.rs
@@ -2,7 +2,7 @@
 
 use rhubarbrill_config::document::Digest;
 use rhubarbrill_config::{Document, Revision};
-use rhubarbrill_platform::store::{Entry, Store};
+use rhubarbrill_edge::store::{Entry, Store};
 
 use super::record::{
     Content, HEAD_KEY, Head, REVISIONS, Stored, parse, part_prefix, revision_key,
--- a/crates/registry/src/configuration/record.rs
+++ b/crates/registry/src/configuration/record.rs
@@ -3,7 +3,7 @@
 use rhubarbrill_config::document::Digest;
 use rhubarbrill_config::{Delta, Revision};
 use rhubarbrill_core::time::Timestamp;
-use rhubarbrill_platform::store::Entry;
+use rhubarbrill_edge::store::Entry;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
--- a/crates/registry/src/configuration/snapshot.rs
+++ b/crates/registry/src/configuration/snapshot.rs
@@ -1,7 +1,7 @@
 //! Snapshots, and the clean-up of what they replace.
 
 use rhubarbrill_config::Document;
-use rhubarbrill_platform::store::{Expect, Store, Swapped};
+use rhubarbrill_edge::store::{Expect, Store, Swapped};
 
 use super::accept::head_swap;
 use super::content::split;
--- a/crates/registry/src/maintenance.rs
+++ b/crates/registry/src/maintenance.rs
@@ -8,8 +8,8 @@
 
 use rhubarbrill_core::fleet::Fleet;
 use rhubarbrill_core::maintenance::{Command, Decision, Ledger, Refusal};
-use rhubarbrill_platform::record::{self, Outcome};
-use rhubarbrill_platform::store::{Entry, Error, Store};
+use rhubarbrill_edge::record::{self, Outcome};
+use rhubarbrill_edge::store::{Entry, Error, Store};
 
 /// Key of the record, below the store's prefix.
 pub const KEY: &str = "maintenance";
@@ -68,7 +68,7 @@
 /// ```
 /// use rhubarbrill_core::fleet::Fleet;
 /// use rhubarbrill_core::maintenance::Command;
-/// use rhubarbrill_platform::store::Memory;
+/// use rhubarbrill_edge::store::Memory;
 /// use rhubarbrill_registry::maintenance::{self, Written};
 ///
 /// let store = Memory::new();
@@ -76,7 +76,7 @@
 /// let answer = maintenance::change(&store, [], &Fleet::default(), 0, &[failed])?;
 /// assert!(answer.decisions[0].is_err());
 /// assert!(matches!(answer.written, Written::Nothing));
-/// # Ok::<(), rhubarbrill_platform::store::Error>(())
+/// # Ok::<(), rhubarbrill_edge::store::Error>(())
 /// ```
 pub fn change<S, W>(
     store: &S,
--- a/crates/registry/tests/allowance.rs
+++ b/crates/registry/tests/allowance.rs
@@ -13,7 +13,7 @@
 use rhubarbrill_core::fleet::{CutOff, Fleet, Team};
 use rhubarbrill_core::member::Member;
 use rhubarbrill_core::time::Instant;
-use rhubarbrill_platform::record;
+use rhubarbrill_edge::record;
 use rhubarbrill_registry::allowance::{Access, Report, Teller, key};
 use rstest::rstest;
 
--- a/crates/registry/tests/claim.rs
+++ b/crates/registry/tests/claim.rs
@@ -8,7 +8,7 @@
     Answer, Arrival, Claim, Identity, Place, Request, SHARDS, Shard, Terms,
 };
 use rhubarbrill_core::time::Timestamp;
-use rhubarbrill_platform::record;
+use rhubarbrill_edge::record;
 use rhubarbrill_registry::claim::{Writer, key};
 use uuid::Uuid;
 
--- a/crates/registry/tests/configuration.rs
+++ b/crates/registry/tests/configuration.rs
@@ -8,7 +8,7 @@
 use rhubarbrill_config::document::{Id, Kind};
 use rhubarbrill_config::{Document, InForce};
 use rhubarbrill_core::time::Timestamp;
-use rhubarbrill_platform::store::{Effect, Expect, Store, Swap, Swapped};
+use rhubarbrill_edge::store::{Effect, Expect, Store, Swap, Swapped};
 use rhubarbrill_registry::configuration::{
     Configuration, Error, HEAD_KEY, Head, Loaded, News, Outcome, Proposal,
 };
@@ -66,7 +66,7 @@
     let expect = head.map_or(Expect::Absent, |entry| Expect::Version(entry.version));
     for swap in [revision, swap(HEAD_KEY.to_owned(), expect)] {
         if let Swapped::Conflict(_) = link.swap(swap)? {
-            return Err(rhubarbrill_platform::store::Error::refused("too late").into());
+            return Err(rhubarbrill_edge::store::Error::refused("too late").into());
         }
     }
     Ok(Outcome::Accepted(next))
--- a/crates/registry/tests/configuration_support/mod.rs
+++ b/crates/registry/tests/configuration_support/mod.rs
@@ -8,7 +8,7 @@
 
 use rhubarbrill_config::document::{Id, Kind, Section};
 use rhubarbrill_config::{Document, Revision};
-use rhubarbrill_platform::store::{
+use rhubarbrill_edge::store::{
     Change, Effect, Entry, Error, Expect, Lease, Listing, Store, Swap, Swapped,
 };
 
--- a/crates/registry/tests/maintenance_naive.rs
+++ b/crates/registry/tests/maintenance_naive.rs
@@ -5,7 +5,7 @@
 
 use fleets::{budget, command, fleet};
 use rhubarbrill_core::maintenance::Command;
-use rhubarbrill_platform::store::{Expect, Memory, Store, Swap, Swapped};
+use rhubarbrill_edge::store::{Expect, Memory, Store, Swap, Swapped};
 use rhubarbrill_registry::maintenance::{self, Written};
 use rstest::rstest;
 
--- a/crates/registry/tests/maintenance_support/mod.rs
+++ b/crates/registry/tests/maintenance_support/mod.rs
@@ -10,7 +10,7 @@
 
 use rhubarbrill_core::fleet::Fleet;
 use rhubarbrill_core::maintenance::{Ledger, Step};
-use rhubarbrill_platform::store::{
+use rhubarbrill_edge::store::{
     Effect, Entry, Error, Lease, Listing, Memory, Store, Swap, Swapped, memory,
 };
 use rhubarbrill_registry::maintenance;
--- a/crates/registry/tests/support/flaky.rs
+++ b/crates/registry/tests/support/flaky.rs
@@ -3,8 +3,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use rhubarbrill_platform::Effect;
-use rhubarbrill_platform::store::{
+use rhubarbrill_edge::Effect;
+use rhubarbrill_edge::store::{
     Entry, Error, Lease, Listing, Memory, Store, Swap, Swapped, memory,
 };
 
--- a/crates/rhubarbrill/src/answer.rs
+++ b/crates/rhubarbrill/src/answer.rs
@@ -3,7 +3,7 @@
 use std::fmt::Display;
 
 use eyre::Report;
-use rhubarbrill_platform::store::{self, Effect};
+use rhubarbrill_edge::store::{self, Effect};
 use rhubarbrill_registry::configuration;
 use serde::Serialize;
 use serde_json::{Value, json};
--- a/crates/rhubarbrill/src/store.rs
+++ b/crates/rhubarbrill/src/store.rs
@@ -7,8 +7,8 @@
 use rhubarbrill_core::fleet::Fleet;
 use rhubarbrill_core::maintenance::Command;
 use rhubarbrill_core::time::Timestamp;
-use rhubarbrill_platform::record::Backoff;
-use rhubarbrill_platform::store::{Gateway, Prefixed};
+use rhubarbrill_edge::record::Backoff;
+use rhubarbrill_edge::store::{Gateway, Prefixed};
 use rhubarbrill_registry::configuration::{
     Configuration, Head, Loaded, Outcome, Proposal, Rival,
 };
--- a/crates/rhubarbrilld/src/control/allowance.rs
+++ b/crates/rhubarbrilld/src/control/allowance.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use rhubarbrill_core::allowance::{Bank, Demand, Holder, Input, Membership, Terms};
-use rhubarbrill_platform::Error;
-use rhubarbrill_platform::store::Store;
+use rhubarbrill_edge::Error;
+use rhubarbrill_edge::store::Store;
 use rhubarbrill_registry::allowance::{Access, Teller};
 use tokio_util::sync::CancellationToken;
 
--- a/crates/rhubarbrilld/src/control/membership.rs
+++ b/crates/rhubarbrilld/src/control/membership.rs
@@ -6,9 +6,9 @@
 
 use rhubarbrill_core::allowance;
 use rhubarbrill_core::member::Member;
+use rhubarbrill_edge::Error;
+use rhubarbrill_edge::store::{Entry, Expect, Lease, Store, Swap, Swapped};
 use rhubarbrill_event::Event;
-use rhubarbrill_platform::Error;
-use rhubarbrill_platform::store::{Entry, Expect, Lease, Store, Swap, Swapped};
 use serde::{Deserialize, Serialize};
 use tokio_util::sync::CancellationToken;
 
--- a/crates/rhubarbrilld/src/control/planner.rs
+++ b/crates/rhubarbrilld/src/control/planner.rs
@@ -19,9 +19,9 @@
 use rhubarbrill_core::maintenance::{Command, Ledger};
 use rhubarbrill_core::member::Member;
 use rhubarbrill_core::wave::{self, Estimate};
-use rhubarbrill_platform::Error;
-use rhubarbrill_platform::record::Backoff;
-use rhubarbrill_platform::store::Store;
+use rhubarbrill_edge::Error;
+use rhubarbrill_edge::record::Backoff;
+use rhubarbrill_edge::store::Store;
 use rhubarbrill_registry::maintenance::{self, Written};
 use tokio_util::sync::CancellationToken;
 
--- a/crates/rhubarbrilld/src/control/planner/outage.rs
+++ b/crates/rhubarbrilld/src/control/planner/outage.rs
@@ -5,7 +5,7 @@
 use rhubarbrill_core::fleet::Fleet;
 use rhubarbrill_core::maintenance::{Command, Ledger, Reason, Record, Step};
 use rhubarbrill_core::time::Instant;
-use rhubarbrill_platform::hosts::State;
+use rhubarbrill_edge::hosts::State;
 
 use super::platform::List;
 use super::probe;
--- a/crates/rhubarbrilld/src/control/planner/platform.rs
+++ b/crates/rhubarbrilld/src/control/planner/platform.rs
@@ -6,8 +6,8 @@
 use rhubarbrill_config::settings::Hosts;
 use rhubarbrill_core::maintenance::Step;
 use rhubarbrill_core::time::Instant;
+use rhubarbrill_edge::hosts::{Listing, Reader, State};
 use rhubarbrill_event::Event;
-use rhubarbrill_platform::hosts::{Listing, Reader, State};
 
 use crate::control::Node;
 use crate::log;
--- a/crates/rhubarbrilld/src/control/relay.rs
+++ b/crates/rhubarbrilld/src/control/relay.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use rhubarbrill_core::maintenance::Ledger;
-use rhubarbrill_platform::record;
-use rhubarbrill_platform::store::Store;
+use rhubarbrill_edge::record;
+use rhubarbrill_edge::store::Store;
 use rhubarbrill_registry::configuration::{Configuration, HEAD_KEY, News};
 use tokio_util::sync::CancellationToken;
 
--- a/crates/rhubarbrilld/src/control/store.rs
+++ b/crates/rhubarbrilld/src/control/store.rs
@@ -2,7 +2,7 @@
 
 use eyre::Result;
 use rhubarbrill_config::settings::{self, StoreKind};
-use rhubarbrill_platform::store::{Any, Gateway, Memory, Prefixed};
+use rhubarbrill_edge::store::{Any, Gateway, Memory, Prefixed};
 use std::time::Duration;
 
 /// The platform's store, below the fleet's prefix.
--- a/crates/rhubarbrilld/src/log.rs
+++ b/crates/rhubarbrilld/src/log.rs
@@ -32,6 +32,15 @@
     )
 }
 
+/// Returns a logger that writes one JSON object a line to standard output.
+pub fn to_stdout(entry: &str, zone: &str) -> Logger {
+    let drain = queue(slog_json::Json::default(std::io::stdout()).ignore_res());
+    Logger::root(
+        drain,
+        o!("entry" => entry.to_owned(), "zone" => zone.to_owned()),
+    )
+}
+
 /// Returns a logger that writes nothing.
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/crates/rhubarbrilld/src/main.rs
+++ b/crates/rhubarbrilld/src/main.rs
@@ -1,6 +1,6 @@
 //! `rhubarbrilld`: the entry daemon.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -10,6 +10,7 @@
 use rhubarbrilld::log;
 use rhubarbrilld::run::Daemon;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
 
 /// Exit code for settings or declarations with mistakes.
 const EXIT_MISTAKES: u8 = 1;
@@ -24,7 +25,10 @@
 struct Args {
     /// settings file in INI
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+    /// run jobs on the users' platform, whose settings file the environment names
+    #[argh(switch)]
+    platform: bool,
     /// check the settings and exit
     #[argh(switch)]
     check: bool,
@@ -32,20 +36,70 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let settings = match settings::read(&args.settings) {
-        Ok(settings) => settings,
-        Err(report) => {
-            eprintln!("{report}");
-            let event = Event::SettingsRefused;
-            eprintln!("event {}: {}", event.number(), event.meaning());
-            return ExitCode::from(EXIT_MISTAKES);
+    match (&args.settings, args.platform) {
+        (Some(path), false) => run_requests(path, args.check),
+        (None, true) => run_jobs(args.check),
+        (Some(_), true) | (None, false) => {
+            eprintln!("give either --settings FILE or --platform");
+            ExitCode::from(EXIT_MISTAKES)
         }
+    }
+}
+
+/// Runs jobs on the users' platform.
+fn run_jobs(check: bool) -> ExitCode {
+    let path = rhubarbrill_platform::settings::path();
+    let node = match rhubarbrill_platform::settings::read(&path) {
+        Ok(node) => node,
+        Err(error) => return refuse_settings(error),
     };
-    if args.check {
-        println!("{}: no mistakes", args.settings.display());
+    if check {
+        println!("{}: no mistakes", path.display());
         return ExitCode::SUCCESS;
     }
-    match serve(settings) {
+    finish(jobs(node))
+}
+
+fn jobs(node: rhubarbrill_platform::settings::Node) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("the runtime can't be started")?;
+    runtime.block_on(async {
+        let stopping = CancellationToken::new();
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        let log = log::to_stdout(&node.settings.name, &node.settings.zone);
+        let platform = rhubarbrill_platform::Platform::new(&node);
+        let run = rhubarbrill_dispatch::run(
+            platform,
+            node.settings,
+            log.clone(),
+            stopping.clone(),
+        );
+        let mut run = std::pin::pin!(run);
+        loop {
+            tokio::select! {
+                ended = &mut run => return ended,
+                _ = terminate.recv() => stopping.cancel(),
+                _ = interrupt.recv() => stopping.cancel(),
+                // Addresses and bounds of a process don't change while it runs.
+                _ = hangup.recv() => log::event(&log, Event::SettingsReread, "no change"),
+            }
+        }
+    })
+}
+
+fn refuse_settings(error: impl std::fmt::Display) -> ExitCode {
+    eprintln!("{error}");
+    let event = Event::SettingsRefused;
+    eprintln!("event {}: {}", event.number(), event.meaning());
+    ExitCode::from(EXIT_MISTAKES)
+}
+
+fn finish(ended: Result<()>) -> ExitCode {
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("rhubarbrilld: {report:#}");
@@ -54,6 +108,19 @@
     }
 }
 
+/// Serves requests with settings of the project's own.
+fn run_requests(path: &Path, check: bool) -> ExitCode {
+    let settings = match settings::read(path) {
+        Ok(settings) => settings,
+        Err(report) => return refuse_settings(report),
+    };
+    if check {
+        println!("{}: no mistakes", path.display());
+        return ExitCode::SUCCESS;
+    }
+    finish(serve(settings))
+}
+
 fn serve(settings: settings::Settings) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
--- a/crates/rhubarbrilld/tests/members.rs
+++ b/crates/rhubarbrilld/tests/members.rs
@@ -7,7 +7,7 @@
 use rhubarbrill_core::fleet::{Arena, CutOff, Team, TeamKey};
 use rhubarbrill_core::gate;
 use rhubarbrill_core::member::Member;
-use rhubarbrill_platform::store::{
+use rhubarbrill_edge::store::{
     Any, Expect, Gateway, Memory, Prefixed, Store, Swap, Swapped,
 };
 use rhubarbrilld::clock::Clock;
--- a/crates/rhubarbrilld/tests/support/history.rs
+++ b/crates/rhubarbrilld/tests/support/history.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use rhubarbrill_core::maintenance::{Ledger, Step};
-use rhubarbrill_platform::store::{Change, Memory, Store as _};
+use rhubarbrill_edge::store::{Change, Memory, Store as _};
 use rhubarbrill_registry::maintenance;
 
 /// Key of the record, with the daemons' default prefix.
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rhubarbrill_platform::store::{Lease, Memory, Store as _};
+use rhubarbrill_edge::store::{Lease, Memory, Store as _};
 
 use super::http::{Down, Front};
 
@@ -21,14 +21,14 @@
 /// # Example
 ///
 /// ```
-/// use rhubarbrill_platform::store::{Gateway, Store as _};
+/// use rhubarbrill_edge::store::{Gateway, Store as _};
 /// use rhubarbrill_standin::platform::Store;
 ///
 /// let store = Store::start();
 /// let gateway = Gateway::try_new([store.url()])?;
 /// assert_eq!(gateway.get("config/head")?, None);
 /// assert_eq!(store.counts().ranges, 1);
-/// # Ok::<(), rhubarbrill_platform::store::Error>(())
+/// # Ok::<(), rhubarbrill_edge::store::Error>(())
 /// ```
 #[derive(Debug)]
 pub struct Store {
--- a/crates/standin/src/platform/store/answer.rs
+++ b/crates/standin/src/platform/store/answer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use rhubarbrill_platform::store::{Error, Lease, Memory, Store as _};
+use rhubarbrill_edge::store::{Error, Lease, Memory, Store as _};
 use rhubarbrill_wire::Int64;
 use rhubarbrill_wire::etcd::{
     Failure, Header, KeepAliveMessage, LeaseGrantRequest, LeaseGrantResponse,
--- a/crates/standin/src/platform/store/kv.rs
+++ b/crates/standin/src/platform/store/kv.rs
@@ -1,8 +1,6 @@
 //! Reads and changes of keys.
 
-use rhubarbrill_platform::store::{
-    Entry, Expect, Lease, Memory, Store as _, Swap, Swapped,
-};
+use rhubarbrill_edge::store::{Entry, Expect, Lease, Memory, Store as _, Swap, Swapped};
 use rhubarbrill_wire::etcd::{
     CompareResult, CompareTarget, DeleteRangeRequest, DeleteRangeResponse, Header,
     KeyValue, PutRequest, PutResponse, Range, RangeRequest, RangeResponse, RequestOp,
--- a/crates/standin/src/platform/store/watch.rs
+++ b/crates/standin/src/platform/store/watch.rs
@@ -12,7 +12,7 @@
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
-use rhubarbrill_platform::store::{Change, Memory, Store as _};
+use rhubarbrill_edge::store::{Change, Memory, Store as _};
 use rhubarbrill_wire::etcd::{
     Event, EventType, Header, KeyValue, WatchCreateRequest, WatchMessage, WatchRequest,
     WatchResponse,
