Record the endpoints that may hold runs, and let a new leader wait for them

Ruled out: waiting out the longest lease for every inherited task (it would also hold up those whose endpoints all answer); a record for each start (175 writes a second). Change: an endpoint is recorded before its first run; a new leader takes the record over and starts an inherited task only once each recorded endpoint of its pool answered, or the longest lease is over. A leader without certainty holds on for 4 s, was 8 s.

--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -1,5 +1,7 @@
 //! What of a job is kept in the store.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use super::Spec;
@@ -31,6 +33,29 @@
     pub spec: Spec,
 }
 
+/// An endpoint that may hold runs.
+///
+/// It is recorded before its first run starts, so that a new leader knows every endpoint
+/// that an earlier one may have used, also those that it can't reach.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Identity of the endpoint.
+    pub id: String,
+    /// When this life of it began, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// Its pool.
+    pub pool: String,
+}
+
+/// The endpoints that may hold runs.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Roster {
+    /// The endpoints, in order of identity.
+    pub members: Vec<Member>,
+}
+
 /// State of a job, as callers see it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -1,7 +1,7 @@
 //! Facts from the store: configuration, endpoints, jobs, cancellations.
 
 use super::{Note, Scheduler};
-use crate::job::endpoint::{Contact, Endpoint};
+use crate::job::endpoint::Endpoint;
 use crate::job::live::{Job, Terms};
 use crate::job::{Configuration, EndpointKey, JobKey, Progress, Record, Report, State};
 use crate::time::{Instant, Timestamp};
@@ -142,21 +142,10 @@
         }
     }
 
-    /// Returns whether what an earlier leader started has been seen, or can't run any more.
-    pub(super) fn is_settled(&self, now: Instant) -> bool {
-        if now.saturating_since(self.began) >= self.options.inherited_bound {
-            return true;
-        }
-        !self.endpoints.is_empty()
-            && self
-                .endpoints
-                .values()
-                .all(|endpoint| endpoint.contact == Contact::Live)
-    }
-
     /// Returns whether a job's tasks may be started.
-    pub(super) fn may_start(&self, job: JobKey, settled: bool) -> bool {
+    pub(super) fn may_start(&self, now: Instant, job: JobKey) -> bool {
         let job = &self.jobs[job];
-        !job.state.is_final() && (settled || !job.inherited)
+        !job.state.is_final()
+            && (!job.inherited || self.is_settled(now, self.pool_of(&job.record)))
     }
 }
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -44,11 +44,10 @@
         wall: Timestamp,
         commands: &mut Vec<Command>,
     ) {
-        let settled = self.is_settled(now);
         let mut jobs: Vec<(Rank, JobKey)> = self
             .jobs
             .iter()
-            .filter(|(key, _)| self.may_start(*key, settled))
+            .filter(|(key, _)| self.may_start(now, *key))
             .map(|(key, job)| (rank(job, wall), key))
             .collect();
         jobs.sort_unstable();
--- a/crates/dispatch/src/lead/authority.rs
+++ b/crates/dispatch/src/lead/authority.rs
@@ -14,7 +14,7 @@
 
 /// Time after the last certain moment for which a leader goes on holding what runs. A store
 /// that is away lets nobody else lead meanwhile; a successor waits for as long.
-pub const HOLD_ON: Duration = Duration::from_secs(8);
+pub const HOLD_ON: Duration = Duration::from_secs(4);
 
 /// Until when a leader is certain that nobody else leads.
 #[derive(Debug)]
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
-    Authority, Command, Ending, Held, Host, Options, Save, Scheduler, Settled, Upkeep,
-    Wave, WaveState,
+    Authority, Command, Ending, Held, Host, Options, Recording, Save, Scheduler, Settled,
+    Upkeep, Wave, WaveState,
 };
 use rhubarbrill_core::job::{EndpointKey, RunKey};
 use rhubarbrill_core::time::Instant;
@@ -35,6 +35,12 @@
 /// Longest lease that an order grants to runs: long enough for a new leader to follow.
 const RUN_LEASE: Duration = Duration::from_millis(5_000);
 
+/// How much longer than asked a lease may last by a slow clock, as a factor.
+const LEASE_STRETCH: f64 = 1.025;
+
+/// Time beyond that for an order that is read late.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+
 /// Pause before the copy of the store is looked at again.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(5);
 
@@ -49,6 +55,8 @@
     Held(EndpointKey, Instant, Held),
     /// A write of progress ended.
     Saved(Vec<Save>, Ending),
+    /// A recording of endpoints ended.
+    Recorded(Recording, Result<u64, Option<u64>>),
     /// The hosts were listed by a call that was made at the instant.
     Hosts(Instant, Vec<Host>),
     /// An order to move a host ended.
@@ -181,7 +189,7 @@
     let lease_term = RUN_LEASE.min(settings.max_lease);
     let options = Options {
         lease_term,
-        inherited_bound: HOLD_ON + lease_term,
+        inherited_bound: HOLD_ON + lease_term.mul_f64(LEASE_STRETCH) + LEASE_MARGIN,
         move_time: settings.move_time,
         notice_time: settings.notice_time,
     };
@@ -196,6 +204,9 @@
     for report in view.endpoints.values() {
         scheduler.set_endpoint(now, report.clone());
     }
+    if let Some(roster) = &view.roster {
+        scheduler.inherit(now, &roster.value, roster.revision);
+    }
     for id in view.jobs.keys() {
         learn_job(&view, &mut scheduler, now, id);
     }
@@ -293,6 +304,7 @@
         Message::Stopped(run, settled) => scheduler.stopped(now, run, settled),
         Message::Held(endpoint, sent, held) => scheduler.held(now, endpoint, sent, held),
         Message::Saved(saves, ending) => scheduler.saved(now, &saves, &ending),
+        Message::Recorded(recording, ended) => scheduler.recorded(&recording, ended),
         Message::Hosts(asked, hosts) => scheduler.set_hosts(asked, hosts),
         Message::Moved(host, outcome) => match outcome {
             HostOrder::Accepted => {}
@@ -329,6 +341,7 @@
         Command::Hold(order) => orders::hold(shared, order),
         Command::Pace(order) => orders::pace(shared, order),
         Command::Save(saves) => save::progress(shared, saves),
+        Command::Record(recording) => save::record(shared, recording),
         Command::Move(order) => hosts::move_host(shared, order),
         Command::Maintain(order) => hosts::maintain(shared, order),
         Command::ReportWave(wave, state) => {
