Keep endpoints that may hold unseen runs when their registration lapses

Ruled out: the record of endpoints itself (the endpoint stood in it). Change: an inherited endpoint that hasn't reported is kept until the longest lease is over.

--- a/crates/core/src/job/scheduler/answer.rs
+++ b/crates/core/src/job/scheduler/answer.rs
@@ -366,6 +366,7 @@
             self.note_missing(now, run, sent);
         }
         let endpoint = &mut self.endpoints[key];
+        endpoint.inherited = false;
         if endpoint.contact == Contact::Unseen {
             endpoint.contact = Contact::Live;
         }
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -50,7 +50,7 @@
         };
         let endpoint = &mut self.endpoints[key];
         endpoint.unlisted_since.get_or_insert(now);
-        if endpoint.is_idle() {
+        if endpoint.is_idle() && !self.may_hold_unseen(now, key) {
             self.bury(now, key, "registration gone");
         }
     }
--- a/crates/core/src/job/scheduler/lease.rs
+++ b/crates/core/src/job/scheduler/lease.rs
@@ -47,7 +47,11 @@
         let left: Vec<EndpointKey> = self
             .endpoints
             .iter()
-            .filter(|(_, endpoint)| endpoint.is_idle() && self.has_left(now, endpoint))
+            .filter(|(key, endpoint)| {
+                endpoint.is_idle()
+                    && !self.may_hold_unseen(now, *key)
+                    && self.has_left(now, endpoint)
+            })
             .map(|(key, _)| key)
             .collect();
         for key in left {
--- a/crates/core/src/job/scheduler/roster.rs
+++ b/crates/core/src/job/scheduler/roster.rs
@@ -66,11 +66,17 @@
     /// more.
     pub(super) fn is_settled(&self, now: Instant, pool: &str) -> bool {
         now.saturating_since(self.began) >= self.options.inherited_bound
-            || !self.endpoints.values().any(|endpoint| {
-                endpoint.inherited
-                    && endpoint.contact != Contact::Live
-                    && endpoint.report.pool == pool
-            })
+            || !self
+                .endpoints
+                .values()
+                .any(|endpoint| endpoint.inherited && endpoint.report.pool == pool)
+    }
+
+    /// Returns whether an endpoint may run what an earlier leader started and nobody has
+    /// seen yet.
+    pub(super) fn may_hold_unseen(&self, now: Instant, key: EndpointKey) -> bool {
+        self.endpoints[key].inherited
+            && now.saturating_since(self.began) < self.options.inherited_bound
     }
 
     /// Has endpoints that answer recorded, so that they can get work.
