--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -118,8 +118,9 @@
     pub target: Target,
     /// Highest end that need not be reported again.
     pub acknowledged: u64,
-    /// End of the lease, by the endpoint's clock in milliseconds.
-    pub lease_end_ms: u64,
+    /// End of the renewed lease, by the endpoint's clock in milliseconds; nothing to only look,
+    /// so that a lease at an endpoint that doesn't answer runs out.
+    pub lease_end_ms: Option<u64>,
     /// Longest time that the endpoint waits for an end before it answers.
     pub wait: Duration,
     /// Fencing token.
--- a/crates/core/src/job/scheduler/answer.rs
+++ b/crates/core/src/job/scheduler/answer.rs
@@ -269,6 +269,7 @@
                     endpoint.read_clock(clock_ms, now);
                 }
                 if let Contact::Lost(_) = endpoint.contact {
+                    endpoint.next_hold = now;
                     self.notes.push(Note::EndpointRegained {
                         endpoint: endpoint.report.id.clone(),
                     });
--- a/crates/core/src/job/scheduler/order.rs
+++ b/crates/core/src/job/scheduler/order.rs
@@ -37,15 +37,19 @@
         for key in due {
             let wait = self.hold_wait(key);
             let endpoint = &mut self.endpoints[key];
+            let renews = !matches!(endpoint.contact, Contact::Lost(_));
             endpoint.hold_sent = Some(now);
             endpoint.acknowledged_sent = endpoint.acknowledged();
-            endpoint.lease_bound = endpoint.lease_bound.max(bound);
+            if renews {
+                endpoint.lease_bound = endpoint.lease_bound.max(bound);
+            }
             commands.push(Command::Hold(Hold {
                 endpoint: key,
                 sent: now,
                 target: endpoint.target(),
                 acknowledged: endpoint.acknowledged(),
-                lease_end_ms: endpoint.lease_end(now, self.options.lease_term),
+                lease_end_ms: renews
+                    .then(|| endpoint.lease_end(now, self.options.lease_term)),
                 wait,
                 fence: self.term.fence,
             }));
