Test the scheduler on a fleet with a virtual clock

Change: a fleet of endpoints, hosts and a store on a virtual clock carries the scheduler's commands out, with cut links, lost answers and late starts, and checks after each step that no task runs twice at once, none starts after it was done, and no endpoint is overfull. Ruled out: tests of single functions (each fault here came from their working together). Of these a_new_leader_waits (2 cases) and a_lost_endpoint cover the two faults that were mended before this support existed. Conclusion: later faults get a case that fails first.

--- /dev/null
+++ b/crates/core/tests/job.rs
@@ -0,0 +1,241 @@
+//! Jobs on a fleet with a virtual clock: order, failures, lost answers, new leaders.
+
+use std::time::Duration;
+
+use rhubarbrill_core::job::{Resource, State};
+use rhubarbrill_core::time::Instant;
+use rstest::rstest;
+
+mod job_support;
+
+use job_support::{CAPACITY, Link, World, configuration, spec, step};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn world(hosts: usize) -> World {
+    let mut world = World::new(configuration(&["a"]));
+    world.add_hosts("a", hosts);
+    world.pass(SECOND / 5);
+    world
+}
+
+fn starts_of<'a>(
+    world: &'a World,
+    task: &str,
+) -> Vec<&'a (Instant, String, u64, String)> {
+    world
+        .seen
+        .starts
+        .iter()
+        .filter(|start| start.1 == task)
+        .collect()
+}
+
+#[test]
+fn steps_run_in_order() {
+    let mut world = world(2);
+    let mut second = step(2, 1_000, 500);
+    second.after = vec![0];
+    let id = world.submit("a", spec(vec![step(3, 1_000, 1_000), second]));
+    assert!(world.pass_until_over(&id, 3 * SECOND));
+    assert_eq!(world.state(&id), State::Completed);
+    let first: Vec<Instant> = (0..3)
+        .map(|i| starts_of(&world, &format!("{id}.0.0.{i}"))[0].0)
+        .collect();
+    let after = starts_of(&world, &format!("{id}.0.1.0"))[0].0;
+    assert!(first.iter().all(|&at| at + SECOND <= after));
+}
+
+/// What is done to the endpoints while a job runs, and how the job ends.
+struct Trouble {
+    link: Link,
+    fails: bool,
+    state: State,
+}
+
+#[rstest]
+#[case::answers_lost(Trouble { link: Link::AnswersLost, fails: false, state: State::Completed })]
+#[case::start_late(Trouble { link: Link::LateStarts(2_000), fails: false, state: State::Completed })]
+#[case::start_very_late(Trouble { link: Link::LateStarts(12_000), fails: false, state: State::Completed })]
+#[case::always_fails(Trouble { link: Link::Good, fails: true, state: State::Failed })]
+fn a_job_ends_whatever_becomes_of_orders(#[case] trouble: Trouble) {
+    let mut world = world(2);
+    for endpoint in world.endpoints.values_mut() {
+        endpoint.link = trouble.link;
+        endpoint.fails = trouble.fails;
+    }
+    let id = world.submit("a", spec(vec![step(4, 1_000, 800)]));
+    world.pass(3 * SECOND);
+    for endpoint in world.endpoints.values_mut() {
+        endpoint.link = Link::Good;
+    }
+    assert!(world.pass_until_over(&id, 20 * SECOND));
+    assert_eq!(world.state(&id), trouble.state);
+    // Late starts that were stopped meanwhile come to nothing.
+    world.pass(15 * SECOND);
+    assert_eq!(world.live(), 0);
+}
+
+#[test]
+fn a_lost_endpoint_keeps_its_tasks_until_its_lease_is_over() {
+    let mut world = world(2);
+    let id = world.submit("a", spec(vec![step(1, 1_000, 60_000)]));
+    world.pass(SECOND);
+    let task = format!("{id}.0.0.0");
+    let place = world.places(&task).remove(0);
+    world.endpoints.get_mut(&place).expect("it exists").link = Link::Cut;
+    let cut = world.now;
+    world.pass(4 * SECOND);
+    assert_eq!(starts_of(&world, &task).len(), 1, "its lease still runs");
+    world.pass(6 * SECOND);
+    let starts = starts_of(&world, &task);
+    assert_eq!(starts.len(), 2, "its lease is over");
+    assert!(starts[1].0 < cut + 8 * SECOND);
+    assert!(starts[1].2 > starts[0].2, "run numbers rise");
+}
+
+#[rstest]
+#[case::still_registered(false)]
+#[case::registration_lapsed(true)]
+fn a_new_leader_waits_for_endpoints_that_it_cannot_reach(#[case] unlisted: bool) {
+    let mut world = world(2);
+    let id = world.submit("a", spec(vec![step(1, 1_000, 60_000)]));
+    world.pass(SECOND);
+    let task = format!("{id}.0.0.0");
+    let place = world.places(&task).remove(0);
+    world.endpoints.get_mut(&place).expect("it exists").link = Link::Cut;
+    world.elect(unlisted);
+    world.pass(SECOND);
+    if !unlisted {
+        // The registration lapses while the new leader looks for the endpoint.
+        world.scheduler.unlist_endpoint(world.now, &place);
+    }
+    // The world's own check finds a second run at once.
+    world.pass(5 * SECOND);
+    world.pass(15 * SECOND);
+    assert_eq!(
+        starts_of(&world, &task).len(),
+        2,
+        "it starts again in the end"
+    );
+}
+
+#[test]
+fn a_new_leader_takes_over_what_runs() {
+    let mut world = world(2);
+    let id = world.submit("a", spec(vec![step(4, 1_000, 2_000)]));
+    world.pass(SECOND);
+    world.elect(false);
+    assert!(world.pass_until_over(&id, 3 * SECOND));
+    assert_eq!(world.seen.starts.len(), 4, "nothing was started twice");
+}
+
+#[test]
+fn another_life_of_an_endpoint_has_none_of_its_runs() {
+    let mut world = world(1);
+    let id = world.submit("a", spec(vec![step(1, 1_000, 1_000)]));
+    world.pass(SECOND / 2);
+    let host = world.endpoints.values().next().expect("one").host.clone();
+    let old = world.endpoints.keys().next().expect("one").clone();
+    let mut crashed = world.endpoints.remove(&old).expect("it exists");
+    crashed.report.born += 100;
+    let report = crashed.report.clone();
+    let mut fresh = World::new(configuration(&["a"]));
+    fresh.add_hosts("a", 1);
+    let mut endpoint = fresh.endpoints.values().next().expect("one").clone();
+    endpoint.report = report.clone();
+    endpoint.host = host;
+    world.endpoints.insert(old, endpoint);
+    world.scheduler.set_endpoint(world.now, report);
+    assert!(world.pass_until_over(&id, 3 * SECOND));
+    assert_eq!(world.state(&id), State::Completed);
+}
+
+#[test]
+fn a_cancelled_job_is_stopped() {
+    let mut world = world(1);
+    let id = world.submit("a", spec(vec![step(4, 1_000, 60_000)]));
+    world.pass(SECOND);
+    assert_eq!(world.live(), 4);
+    world.scheduler.cancel_job(world.now, &id);
+    world.pass(SECOND);
+    assert_eq!(world.live(), 0);
+    assert_eq!(world.state(&id), State::Cancelled);
+}
+
+#[test]
+fn a_workspace_stays_within_its_limit() {
+    let mut configuration = configuration(&["a"]);
+    configuration.workspaces[0].limit = Resource {
+        cpu: 5_000,
+        memory_mb: 0,
+        gpu: 0,
+    };
+    let mut world = World::new(configuration);
+    world.add_hosts("a", 3);
+    world.pass(SECOND / 5);
+    for _ in 0..4 {
+        world.submit("a", spec(vec![step(4, 1_000, 1_000)]));
+    }
+    for _ in 0..50 {
+        world.pass(SECOND / 10);
+        assert!(world.live() <= 5);
+    }
+    assert_eq!(world.seen.starts.len(), 16);
+}
+
+#[test]
+fn tasks_keep_apart_where_their_step_says_so() {
+    let mut world = world(4);
+    let mut apart = step(4, 1_000, 2_000);
+    apart.max_per_endpoint = 1;
+    let id = world.submit("a", spec(vec![apart]));
+    world.pass(SECOND);
+    let mut places: Vec<String> = (0..4)
+        .flat_map(|i| world.places(&format!("{id}.0.0.{i}")))
+        .collect();
+    places.sort();
+    places.dedup();
+    assert_eq!(places.len(), 4);
+}
+
+#[rstest]
+#[case::fits(2, 8)]
+#[case::does_not_fit(1, 0)]
+fn a_gang_starts_whole_or_not_at_all(#[case] hosts: usize, #[case] live: usize) {
+    let mut world = world(hosts);
+    let mut gang = step(8, CAPACITY.cpu / 4, 2_000);
+    gang.gang = true;
+    world.submit("a", spec(vec![gang]));
+    world.pass(SECOND);
+    assert_eq!(world.live(), live);
+}
+
+#[test]
+fn tasks_fill_few_endpoints() {
+    let mut world = world(6);
+    world.submit("a", spec(vec![step(8, 3_000, 2_000)]));
+    world.pass(SECOND);
+    let busy = world
+        .endpoints
+        .keys()
+        .filter(|id| world.seen.starts.iter().any(|start| &start.3 == *id));
+    assert_eq!(busy.count(), 1);
+}
+
+#[test]
+fn nothing_is_forgotten_while_the_store_is_away() {
+    let mut world = world(1);
+    let id = world.submit("a", spec(vec![step(2, 1_000, 500)]));
+    world.pass(SECOND / 5);
+    world.store_answers = false;
+    world.pass(2 * SECOND);
+    world.store_answers = true;
+    world.elect(false);
+    assert!(world.pass_until_over(&id, 2 * SECOND));
+    assert_eq!(
+        world.seen.starts.len(),
+        2,
+        "the ends were still there to be read"
+    );
+}
