Count cut-off tasks as away, and only hosts that serve as capacity

Ruled out: placement (no endpoint of the pool took work); limits (the tasks have none). Change: a task is at work only where its endpoint answers; a pool's capacity is what serves or comes; ready tasks that fit nowhere ask for capacity by what they need; which endpoints are being emptied is worked out anew each time, so no mark is left behind. Tests: no_task_is_moved_while_another_of_its_step_is_cut_off and a_pool_whose_only_host_is_emptied_gets_another fail before and pass after.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -182,6 +182,8 @@
     ended: BTreeSet<String>,
     runs: SlotMap<RunKey, Run>,
     usage: BTreeMap<String, Resource>,
+    /// Processor of the ready tasks of each pool that fit nowhere, as of the last decision.
+    unplaced: BTreeMap<String, u64>,
     saves_in_flight: bool,
     deposed: bool,
     hosts: capacity::Hosts,
@@ -207,6 +209,7 @@
             ended: BTreeSet::new(),
             runs: SlotMap::with_key(),
             usage: BTreeMap::new(),
+            unplaced: BTreeMap::new(),
             saves_in_flight: false,
             deposed: false,
             hosts: capacity::Hosts::new(now),
@@ -263,6 +266,7 @@
         if self.deposed {
             return commands;
         }
+        self.mark_emptying();
         self.schedule_waves(now, &mut commands);
         self.resize_pools(now, &mut commands);
         commands
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -134,6 +134,17 @@
     }
 }
 
+/// What a pool can expect of a host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outlook {
+    /// It takes work now.
+    Serves,
+    /// It joins soon.
+    Comes,
+    /// It is failed, leaving, or in maintenance.
+    Absent,
+}
+
 /// What a pool needs and has, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default)]
 struct Balance {
@@ -168,9 +179,6 @@
     /// Takes that an order for a host was refused or not sent.
     pub fn host_order_failed(&mut self, host: &str) {
         self.hosts.ordered.remove(host);
-        if let Some(key) = self.endpoint_of(host) {
-            self.endpoints[key].emptying = false;
-        }
     }
 
     pub(super) fn resize_pools(&mut self, now: Instant, commands: &mut Vec<Command>) {
@@ -198,21 +206,56 @@
                 balance.needed += cpu.lasting;
             }
         }
+        let mut coming: BTreeMap<String, u64> = BTreeMap::new();
         for host in self.hosts.list.values() {
             let pool = self
                 .hosts
                 .ordered
                 .get(&host.name)
                 .map_or(&host.pool, |order| &order.pool);
-            if host.state != HostState::Down
-                && let Some(balance) = balances.get_mut(pool)
-            {
-                balance.held += host.capacity.cpu;
+            let Some(balance) = balances.get_mut(pool) else {
+                continue;
+            };
+            match self.outlook(host) {
+                Outlook::Serves => balance.held += host.capacity.cpu,
+                Outlook::Comes => {
+                    balance.held += host.capacity.cpu;
+                    *coming.entry(pool.clone()).or_default() += host.capacity.cpu;
+                }
+                Outlook::Absent => {}
+            }
+        }
+        for (pool, &cpu) in &self.unplaced {
+            let coming = coming.get(pool).copied().unwrap_or(0);
+            if let Some(balance) = balances.get_mut(pool) {
+                let short = cpu.saturating_sub(coming);
+                balance.needed = balance.needed.max(balance.held + short);
             }
         }
         balances
     }
 
+    /// Returns what a pool can expect of a host.
+    fn outlook(&self, host: &Host) -> Outlook {
+        if self.hosts.ordered.contains_key(&host.name) || host.state == HostState::Moving
+        {
+            return Outlook::Comes;
+        }
+        let endpoint = host.endpoint.as_ref().and_then(|id| self.by_id.get(id));
+        let Some(endpoint) = endpoint.map(|&key| &self.endpoints[key]) else {
+            return Outlook::Absent;
+        };
+        let serves = host.state == HostState::Up
+            && !endpoint.report.draining
+            && !endpoint.emptying
+            && !matches!(endpoint.contact, Contact::Lost(_));
+        if serves {
+            Outlook::Serves
+        } else {
+            Outlook::Absent
+        }
+    }
+
     /// Returns the processor that jobs under way take now and with their next tasks.
     fn outstanding(&self) -> BTreeMap<String, Outstanding> {
         let mut outstanding: BTreeMap<String, Outstanding> = BTreeMap::new();
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -52,6 +52,7 @@
             .collect();
         jobs.sort_unstable();
         let open = self.open_endpoints(now);
+        self.unplaced.clear();
         for (_, key) in jobs {
             self.place_job(now, key, &open, commands);
         }
@@ -75,9 +76,8 @@
         open: &Open,
         commands: &mut Vec<Command>,
     ) {
-        let Some(endpoints) = open.get(self.pool_of(&self.jobs[key].record)) else {
-            return;
-        };
+        let pool = self.pool_of(&self.jobs[key].record).to_owned();
+        let endpoints = open.get(&pool).map_or(&[][..], Vec::as_slice);
         for (occurrence, step) in self.ready_steps(key) {
             let waiting = self.waiting_tasks(now, key, occurrence, step);
             if waiting.is_empty() {
@@ -87,8 +87,9 @@
                 self.place_gang(now, &waiting, endpoints, commands);
                 continue;
             }
-            for task in waiting {
+            for (place, &task) in waiting.iter().enumerate() {
                 let Some(endpoint) = self.choose(now, task, endpoints) else {
+                    self.note_unplaced(&pool, task, waiting.len() - place);
                     break;
                 };
                 let number = self.next_number(task);
@@ -97,6 +98,15 @@
         }
     }
 
+    /// Notes that tasks of a step fit nowhere, if it is for want of room.
+    fn note_unplaced(&mut self, pool: &str, task: TaskRef, count: usize) {
+        let demand = self.step(task).demand;
+        if self.is_within_limit(task, &demand) {
+            let cpu = self.step(task).reserved().cpu * count as u64;
+            *self.unplaced.entry(pool.to_owned()).or_default() += cpu;
+        }
+    }
+
     fn ready_steps(&self, key: JobKey) -> Vec<(u32, u32)> {
         let job = &self.jobs[key];
         let mut ready = Vec::new();
--- a/crates/core/src/job/scheduler/wave.rs
+++ b/crates/core/src/job/scheduler/wave.rs
@@ -8,6 +8,7 @@
 
 use super::capacity::HostState;
 use super::{Command, Note, Scheduler};
+use crate::job::endpoint::Contact;
 use crate::job::live::Task;
 use crate::job::run::Phase;
 use crate::job::{EndpointKey, RunKey, TaskRef};
@@ -55,6 +56,8 @@
 pub(super) struct Waves {
     open: BTreeMap<u64, Open>,
     completed: BTreeSet<u64>,
+    /// Hosts that run empty for their maintenance.
+    emptying: BTreeSet<String>,
     /// When each host last began its maintenance.
     begun: BTreeMap<String, Instant>,
 }
@@ -220,6 +223,7 @@
         if let Some(key) = self.endpoint_of(name) {
             self.endpoints[key].emptying = true;
         }
+        self.waves.emptying.remove(name);
         if let Some(open) = self.waves.open.get_mut(&number) {
             open.ordered.insert(name.to_owned(), now);
         }
@@ -235,18 +239,42 @@
 
     /// Lets the hosts with the least work run empty, up to `most` at once.
     fn empty_hosts(&mut self, busy: &[String], most: usize) {
-        let mut known: Vec<(bool, usize, u64, EndpointKey)> = busy
+        let mut known: Vec<(bool, usize, u64, &String)> = busy
             .iter()
-            .filter_map(|name| self.endpoint_of(name))
-            .map(|key| {
-                let endpoint = &self.endpoints[key];
+            .filter_map(|name| Some((name, self.endpoint_of(name)?)))
+            .map(|(name, key)| {
+                let chosen = self.waves.emptying.contains(name);
                 let lasting = self.lasting_runs(key);
-                (!endpoint.emptying, lasting, endpoint.used.cpu, key)
+                (!chosen, lasting, self.endpoints[key].used.cpu, name)
             })
             .collect();
         known.sort_unstable();
-        for &(_, _, _, key) in known.iter().take(most) {
-            self.endpoints[key].emptying = true;
+        let chosen = known.iter().take(most).map(|&(_, _, _, name)| name.clone());
+        self.waves.emptying.extend(chosen.collect::<Vec<_>>());
+        self.mark_emptying();
+    }
+
+    /// Marks the endpoints that get nothing new, since their hosts are about to go.
+    pub(super) fn mark_emptying(&mut self) {
+        let waves = &self.waves;
+        let hosts: BTreeSet<&String> = waves
+            .open
+            .values()
+            .flat_map(|open| open.ordered.keys())
+            .chain(self.hosts.ordered.keys())
+            .chain(
+                waves
+                    .emptying
+                    .iter()
+                    .filter(|name| self.is_awaiting_maintenance(name)),
+            )
+            .collect();
+        let keys: BTreeSet<EndpointKey> = hosts
+            .into_iter()
+            .filter_map(|name| self.endpoint_of(name))
+            .collect();
+        for (key, endpoint) in &mut self.endpoints {
+            endpoint.emptying = keys.contains(&key);
         }
     }
 
@@ -293,6 +321,10 @@
 
     fn is_at_work(&self, run: RunKey) -> bool {
         let run = &self.runs[run];
-        matches!(run.phase, Phase::Running(_)) && run.percent >= 100
+        let reached = self
+            .endpoints
+            .get(run.endpoint)
+            .is_some_and(|endpoint| endpoint.contact == Contact::Live);
+        reached && matches!(run.phase, Phase::Running(_)) && run.percent >= 100
     }
 }
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rhubarbrill_core::job::scheduler::Wave;
 use rhubarbrill_core::job::{Resource, State};
 use rhubarbrill_core::time::Instant;
 use rstest::rstest;
@@ -239,3 +240,60 @@
         "the ends were still there to be read"
     );
 }
+
+#[test]
+fn no_task_is_moved_while_another_of_its_step_is_cut_off() {
+    let mut world = world(5);
+    let mut lasting = step(2, 1_000, 0);
+    lasting.long_running = true;
+    lasting.max_per_endpoint = 1;
+    lasting.max_unavailable = Some(1);
+    let id = world.submit("a", spec(vec![lasting]));
+    world.pass(2 * SECOND);
+    let cut = world.places(&format!("{id}.0.0.0")).remove(0);
+    let other = world.places(&format!("{id}.0.0.1")).remove(0);
+    world.endpoints.get_mut(&cut).expect("it exists").link = Link::Cut;
+    world.pass(SECOND);
+    let host = world.endpoints[&other].host.clone();
+    world
+        .scheduler
+        .add_wave(wave(vec![host], 1), Default::default());
+    world.pass(3 * SECOND);
+    assert_eq!(
+        world.places(&format!("{id}.0.0.1")),
+        [other],
+        "one is away already"
+    );
+}
+
+#[test]
+fn a_pool_whose_only_host_is_emptied_gets_another() {
+    let mut world = world(1);
+    world.add_hosts("spare", 2);
+    let mut lasting = step(4, 1_000, 0);
+    lasting.long_running = true;
+    lasting.max_unavailable = Some(1);
+    let id = world.submit("a", spec(vec![lasting]));
+    world.pass(2 * SECOND);
+    let place = world.places(&format!("{id}.0.0.0")).remove(0);
+    let host = world.endpoints[&place].host.clone();
+    world
+        .scheduler
+        .add_wave(wave(vec![host], 1), Default::default());
+    world.pass(20 * SECOND);
+    assert_eq!(world.live(), 4, "all tasks are at work again");
+    assert_eq!(
+        world.seen.maintained.len(),
+        1,
+        "and the host had its maintenance"
+    );
+}
+
+fn wave(hosts: Vec<String>, max_at_once: usize) -> Wave {
+    Wave {
+        number: 1,
+        hosts,
+        duration: 20 * SECOND,
+        max_at_once,
+    }
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -111,6 +111,7 @@
     term: Term,
     done: BTreeSet<String>,
     births: u64,
+    ticks: u64,
 }
 
 /// Returns the options that a daemon uses.
@@ -217,6 +218,7 @@
             term,
             done: BTreeSet::new(),
             births: 0,
+            ticks: 0,
         }
     }
 
@@ -394,7 +396,8 @@
         self.advance_hosts();
         let wall = self.wall();
         let mut commands = self.scheduler.poll(self.now, wall, Authority::Certain);
-        if self.now.as_micros() % 100_000 == 0 {
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(10) {
             self.list_hosts();
             commands.extend(self.scheduler.poll_hosts(self.now));
         }
