Take gone endpoints off the record at once

Ruled out: leases (the endpoints no longer existed), placement (the jobs weren't allowed). Change: an endpoint that is forgotten makes the record stale, and it is written again. Test: a_new_leader_waits_for_no_endpoint_whose_host_has_moved_away fails before and passes. Conclusion: right, and not enough: one unreachable endpoint still holds up a whole pool.

--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -66,6 +66,7 @@
         for run in runs {
             self.release(now, run, reason);
         }
+        self.roster.stale |= self.endpoints[key].recorded;
         if let Some(endpoint) = self.endpoints.remove(key)
             && self.by_id.get(&endpoint.report.id) == Some(&key)
         {
--- a/crates/core/src/job/scheduler/roster.rs
+++ b/crates/core/src/job/scheduler/roster.rs
@@ -21,6 +21,8 @@
 pub(super) struct State {
     version: u64,
     in_flight: bool,
+    /// Whether the record names endpoints that are certainly gone.
+    pub(super) stale: bool,
 }
 
 impl Scheduler {
@@ -32,6 +34,7 @@
             match known {
                 Some(key) if self.endpoints[key].report.born > member.born => {
                     // That life, and all that ran in it, is over.
+                    self.roster.stale = true;
                 }
                 Some(key) => {
                     self.endpoints[key].inherited = true;
@@ -83,7 +86,8 @@
     pub(super) fn record_endpoints(&mut self, commands: &mut Vec<Command>) {
         let is_new =
             |endpoint: &Endpoint| !endpoint.recorded && endpoint.contact == Contact::Live;
-        if self.roster.in_flight || !self.endpoints.values().any(is_new) {
+        let outdated = self.roster.stale || self.endpoints.values().any(is_new);
+        if self.roster.in_flight || !outdated {
             return;
         }
         let mut members = Vec::new();
@@ -101,6 +105,7 @@
             }
         }
         self.roster.in_flight = true;
+        self.roster.stale = false;
         commands.push(Command::Record(Recording {
             roster: Roster { members },
             version: self.roster.version,
@@ -121,8 +126,10 @@
                     }
                 }
             }
-            Err(Some(version)) => self.roster.version = version,
-            Err(None) => {}
+            Err(version) => {
+                self.roster.stale = true;
+                self.roster.version = version.unwrap_or(self.roster.version);
+            }
         }
     }
 }
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -297,3 +297,20 @@
         max_at_once,
     }
 }
+
+#[test]
+fn a_new_leader_waits_for_no_endpoint_whose_host_has_moved_away() {
+    let mut world = world(3);
+    world.add_hosts("spare", 1);
+    let id = world.submit("a", spec(vec![step(1, 1_000, 12_000)]));
+    // The idle hosts leave the pool meanwhile.
+    world.pass(6 * SECOND);
+    assert!(!world.seen.moves.is_empty());
+    let mut second = step(1, 1_000, 500);
+    second.after = vec![0];
+    let chain = world.submit("a", spec(vec![step(1, 1_000, 500), second]));
+    world.pass(SECOND / 4);
+    world.elect(false);
+    assert!(world.pass_until_over(&chain, 2 * SECOND), "its next step waits for nothing");
+    assert!(world.pass_until_over(&id, 8 * SECOND));
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -246,7 +246,11 @@
         self.list_hosts();
     }
 
+    /// Starts the endpoint of a host, unless its pool is switched off.
     fn boot(&mut self, host: &str) {
+        if self.hosts[host].pool == "spare" {
+            return;
+        }
         self.births += 1;
         let id = format!("e{}", self.births);
         let address: SocketAddr = format!("127.0.0.1:{}", 10_000 + self.births)
