Write each run to the store before its start

Ruled out: a shorter bound (it is the longest lease after the last certain moment); the record of endpoints (it can't tell which tasks are concerned; it leaves again). Change: a placed task is written with its endpoint and run number, and its start goes out once that is in the store; a new leader takes each such run over as running until its endpoint has reported, and goes on with all others at once. Run numbers rise by one across leaders. Test: a_new_leader_goes_on_with_tasks_that_no_cut_concerns (new; the pool waited before).

--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -104,10 +104,6 @@
     /// Nothing new is placed here until then.
     pub(super) shunned_until: Instant,
     pub(super) recent_failures: u32,
-    /// Whether the store records that it may hold runs.
-    pub(super) recorded: bool,
-    /// Whether an earlier leader may have started runs there that weren't seen yet.
-    pub(super) inherited: bool,
     /// Whether it is being emptied for a move or for maintenance.
     pub(super) emptying: bool,
     /// When the last run ended, or the endpoint came.
@@ -141,8 +137,6 @@
             unsaved: Vec::new(),
             shunned_until: now,
             recent_failures: 0,
-            recorded: false,
-            inherited: false,
             emptying: false,
             idle_since: now,
         }
@@ -214,7 +208,6 @@
             .is_none_or(|since| now.saturating_since(since) < REGISTRATION_GRACE);
         registered
             && self.contact == Contact::Live
-            && self.recorded
             && !self.report.draining
             && !self.emptying
             && now >= self.shunned_until
--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::configuration::Queue;
-use super::record::{self, Progress};
+use super::record::{self, Member, Progress};
 use super::{EndpointKey, Record, RunKey, State};
 use crate::time::{Instant, Timestamp};
 
@@ -47,7 +47,7 @@
     }
 
     fn is_worth_keeping(&self) -> bool {
-        self.done || !self.failed_runs.is_empty() || !self.checkpoint.is_empty()
+        self.done || self.last_run > 0
     }
 }
 
@@ -96,16 +96,25 @@
         place.done = task.done;
         place.failed_runs = task.failed_runs;
         place.checkpoint = task.checkpoint;
+        place.last_run = task.last_run;
     }
 
-    fn snapshot(&self, index: u32) -> record::Occurrence {
+    /// Returns what the store should hold; `place` tells the position of the endpoint that
+    /// a task's runs were given to.
+    fn snapshot(
+        &self,
+        index: u32,
+        mut place: impl FnMut(&Task) -> Option<u32>,
+    ) -> record::Occurrence {
         let mut tasks = Vec::new();
         for (step, group) in self.groups.iter().enumerate() {
-            for (place, task) in group.tasks.iter().enumerate() {
+            for (index, task) in group.tasks.iter().enumerate() {
                 if task.is_worth_keeping() {
                     tasks.push(record::Task {
                         step: u32::try_from(step).unwrap_or(u32::MAX),
-                        index: u32::try_from(place).unwrap_or(u32::MAX),
+                        index: u32::try_from(index).unwrap_or(u32::MAX),
+                        last_run: task.last_run,
+                        member: if task.done { None } else { place(task) },
                         done: task.done,
                         failed_runs: task.failed_runs.clone(),
                         checkpoint: if task.done {
@@ -137,8 +146,6 @@
     pub(super) record: Record,
     pub(super) terms: Terms,
     pub(super) state: State,
-    /// Whether an earlier leader may have started tasks of it.
-    pub(super) inherited: bool,
     pub(super) first_open: u32,
     pub(super) next_occurrence: u32,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
@@ -146,6 +153,8 @@
     pub(super) generation: u64,
     pub(super) saved_generation: u64,
     pub(super) changed_at: Instant,
+    /// Whether starts wait for the store.
+    pub(super) has_planned: bool,
     /// Store revision of the saved progress; 0 for none.
     pub(super) progress_version: u64,
 }
@@ -164,13 +173,13 @@
             record,
             terms,
             state: progress.state,
-            inherited: false,
             first_open: progress.first_open,
             next_occurrence: progress.first_open,
             occurrences: BTreeMap::new(),
             generation: 0,
             saved_generation: 0,
             changed_at: Instant::ZERO,
+            has_planned: false,
             progress_version: 0,
         };
         for saved in progress.occurrences {
@@ -263,18 +272,30 @@
         self.generation == self.saved_generation
     }
 
-    /// Returns what the store should hold.
-    pub(super) fn snapshot(&self) -> Progress {
-        let open = self.occurrences.iter();
+    /// Returns what the store should hold; `member` tells the endpoint of a run.
+    pub(super) fn snapshot(&self, member: impl Fn(RunKey) -> Option<Member>) -> Progress {
+        let mut members: Vec<Member> = Vec::new();
+        let mut place = |task: &Task| {
+            let member = task.runs.last().copied().and_then(&member)?;
+            let known = members.iter().position(|other| *other == member);
+            let position = known.unwrap_or_else(|| {
+                members.push(member);
+                members.len() - 1
+            });
+            u32::try_from(position).ok()
+        };
+        let occurrences = if self.state == State::Completed {
+            Vec::new()
+        } else {
+            let open = self.occurrences.iter();
+            open.map(|(&index, occurrence)| occurrence.snapshot(index, &mut place))
+                .collect()
+        };
         Progress {
             state: self.state,
             first_open: self.first_open,
-            occurrences: if self.state.is_final() {
-                Vec::new()
-            } else {
-                open.map(|(&index, occurrence)| occurrence.snapshot(index))
-                    .collect()
-            },
+            members,
+            occurrences,
         }
     }
 }
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -33,11 +33,8 @@
     pub spec: Spec,
 }
 
-/// An endpoint that may hold runs.
-///
-/// It is recorded before its first run starts, so that a new leader knows every endpoint
-/// that an earlier one may have used, also those that it can't reach.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// An endpoint that a task was given to.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Member {
     /// Identity of the endpoint.
     pub id: String,
@@ -49,13 +46,6 @@
     pub pool: String,
 }
 
-/// The endpoints that may hold runs.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Roster {
-    /// The endpoints, in order of identity.
-    pub members: Vec<Member>,
-}
-
 /// State of a job, as callers see it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -88,11 +78,48 @@
     /// Occurrences before this one are done.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub first_open: u32,
+    /// The endpoints that tasks were given to.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<Member>,
     /// The occurrences from there on that are under way.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub occurrences: Vec<Occurrence>,
 }
 
+/// A run that was given to an endpoint.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Given {
+    pub(super) occurrence: u32,
+    pub(super) step: u32,
+    pub(super) index: u32,
+    pub(super) number: u64,
+    pub(super) member: Member,
+}
+
+impl Progress {
+    /// Returns the runs that may be under way.
+    pub(super) fn given(&self) -> Vec<Given> {
+        let mut given = Vec::new();
+        for occurrence in &self.occurrences {
+            for task in &occurrence.tasks {
+                let member = task
+                    .member
+                    .and_then(|place| self.members.get(place as usize));
+                if let Some(member) = member {
+                    given.push(Given {
+                        occurrence: occurrence.index,
+                        step: task.step,
+                        index: task.index,
+                        number: task.last_run,
+                        member: member.clone(),
+                    });
+                }
+            }
+        }
+        given
+    }
+}
+
 /// How far one occurrence of a job is.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Occurrence {
@@ -117,6 +144,12 @@
     /// Numbers of the runs that failed.
     #[serde(default, rename = "f", skip_serializing_if = "Vec::is_empty")]
     pub failed_runs: Vec<u64>,
+    /// Highest number that a run of the task has.
+    #[serde(default, rename = "n")]
+    pub last_run: u64,
+    /// Position of the endpoint that the run with this number was given to, until it ends.
+    #[serde(default, rename = "m", skip_serializing_if = "Option::is_none")]
+    pub member: Option<u32>,
     /// Newest checkpoint; empty for none.
     #[serde(default, rename = "c", skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
--- a/crates/core/src/job/run.rs
+++ b/crates/core/src/job/run.rs
@@ -101,6 +101,10 @@
 /// What is known of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Phase {
+    /// Its start goes out once the store has this generation of its job.
+    Planned(u64),
+    /// An earlier leader gave it to its endpoint, which hasn't reported yet.
+    Inherited,
     /// The order is on its way.
     Starting,
     /// The order got no answer: it may run, or start later.
@@ -127,7 +131,12 @@
     pub(super) const fn settled_at(self) -> Option<Instant> {
         match self {
             Self::Running(at) | Self::StopAcknowledged(at) => Some(at),
-            Self::Starting | Self::Doubtful | Self::Stopping(_) | Self::StopSent => None,
+            Self::Planned(_)
+            | Self::Inherited
+            | Self::Starting
+            | Self::Doubtful
+            | Self::Stopping(_)
+            | Self::StopSent => None,
         }
     }
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -20,20 +20,19 @@
 mod answer;
 mod capacity;
 mod finish;
+mod inherit;
 mod intake;
 mod lease;
 mod note;
 mod order;
 mod pace;
 mod place;
-mod roster;
 mod save;
 mod wave;
 
 pub use answer::{EndRow, Held, Rejection, Reply, Row, Settled};
 pub use capacity::{Host, HostState, Move};
 pub use note::Note;
-pub use roster::Recording;
 pub use save::{Ending, Save};
 pub use wave::{Upkeep, Wave, WaveState};
 
@@ -153,8 +152,6 @@
     Move(Move),
     /// Slow a run down or let it go faster.
     Pace(Pace),
-    /// Record in the store which endpoints may hold runs.
-    Record(Recording),
     /// Write progress to the store.
     Save(Vec<Save>),
     /// Start a run.
@@ -187,7 +184,6 @@
     saves_in_flight: bool,
     deposed: bool,
     hosts: capacity::Hosts,
-    roster: roster::State,
     waves: wave::Waves,
     arrivals: capacity::Arrivals,
     paces: pace::Paces,
@@ -213,7 +209,6 @@
             saves_in_flight: false,
             deposed: false,
             hosts: capacity::Hosts::new(now),
-            roster: roster::State::default(),
             waves: wave::Waves::default(),
             arrivals: capacity::Arrivals::default(),
             paces: pace::Paces::default(),
@@ -250,8 +245,8 @@
         self.release_lapsed(now);
         self.open_occurrences(now, wall);
         if authority == Authority::Certain {
-            self.record_endpoints(&mut commands);
-            self.place(now, wall, &mut commands);
+            self.place(now, wall);
+            self.order_starts(now, &mut commands);
             self.order_stops(now, &mut commands);
             self.adjust_paces(now, &mut commands);
         }
--- a/crates/core/src/job/scheduler/answer.rs
+++ b/crates/core/src/job/scheduler/answer.rs
@@ -367,7 +367,6 @@
             self.note_missing(now, run, sent);
         }
         let endpoint = &mut self.endpoints[key];
-        endpoint.inherited = false;
         if endpoint.contact == Contact::Unseen {
             endpoint.contact = Contact::Live;
         }
@@ -377,7 +376,10 @@
         let run = &mut self.runs[key];
         run.percent = row.percent;
         run.gauge = row.gauge;
-        if matches!(run.phase, Phase::Starting | Phase::Doubtful) {
+        if matches!(
+            run.phase,
+            Phase::Inherited | Phase::Starting | Phase::Doubtful
+        ) {
             run.phase = Phase::Running(now);
         }
         if row.checkpoint.is_empty() {
@@ -394,6 +396,10 @@
     fn note_missing(&mut self, now: Instant, key: RunKey, sent: Instant) {
         let run = &self.runs[key];
         match run.phase {
+            // The endpoint has seen this leader's token, so the start can't come later.
+            Phase::Inherited => {
+                self.release(now, key, "not started by an earlier leader")
+            }
             // It wasn't there when asked, and must not come later.
             Phase::Doubtful if sent > run.sent_at => {
                 self.stop(now, key, "its start got no answer");
--- a/crates/core/src/job/scheduler/finish.rs
+++ b/crates/core/src/job/scheduler/finish.rs
@@ -168,6 +168,10 @@
         if run.phase.is_stopping() {
             return;
         }
+        if let Phase::Planned(_) = run.phase {
+            self.release(now, key, reason);
+            return;
+        }
         run.phase = Phase::Stopping(now);
         let note = Note::Stopping {
             name: run.name.clone(),
--- /dev/null
+++ b/crates/core/src/job/scheduler/inherit.rs
@@ -0,0 +1,78 @@
+//! Runs that an earlier leader gave to endpoints.
+//!
+//! Each run is in the store before its start is sent, so a new leader knows every task that
+//! may run, and where. Until an endpoint has reported, or the longest lease is over, its
+//! tasks count as running; the others go on at once.
+
+use super::Scheduler;
+use crate::job::endpoint::Endpoint;
+use crate::job::record::Given;
+use crate::job::run::{Phase, Run};
+use crate::job::{EndpointKey, JobKey, Name, Report, Resource, TaskRef};
+use crate::time::Instant;
+
+impl Scheduler {
+    /// Takes over a run as the store has it.
+    pub(super) fn inherit(&mut self, now: Instant, job: JobKey, given: Given) {
+        let task = TaskRef {
+            job,
+            occurrence: given.occurrence,
+            step: given.step,
+            index: given.index,
+        };
+        if self.jobs[job].task(task).is_none_or(|task| task.done) {
+            return;
+        }
+        let Some(endpoint) = self.member(now, &given) else {
+            return;
+        };
+        let step = self.step(task);
+        let (reserved, demand) = (step.reserved(), step.demand);
+        let run = self.runs.insert(Run {
+            name: Name {
+                job: self.jobs[job].id.clone(),
+                occurrence: given.occurrence,
+                step: given.step,
+                index: given.index,
+            },
+            number: given.number,
+            task: Some(task),
+            endpoint,
+            reserved,
+            demand,
+            phase: Phase::Inherited,
+            sent_at: now,
+            percent: 0,
+            gauge: 0,
+            pace: 100,
+        });
+        self.attach(run, Some(task), endpoint, reserved, demand);
+        let bound = self.began + self.options.inherited_bound;
+        let endpoint = &mut self.endpoints[endpoint];
+        endpoint.lease_bound = endpoint.lease_bound.max(bound);
+    }
+
+    /// Finds the endpoint that a run was given to; nothing if that life of it is over.
+    fn member(&mut self, now: Instant, given: &Given) -> Option<EndpointKey> {
+        let member = &given.member;
+        if let Some(&key) = self.by_id.get(&member.id) {
+            return (self.endpoints[key].report.born == member.born).then_some(key);
+        }
+        let report = Report {
+            id: member.id.clone(),
+            born: member.born,
+            pool: member.pool.clone(),
+            address: member.address,
+            zone: String::new(),
+            labels: Vec::new(),
+            capacity: Resource::default(),
+            draining: false,
+            clock_ms: 0,
+        };
+        let mut endpoint = Endpoint::new(report, now);
+        endpoint.unlisted_since = Some(now);
+        let key = self.endpoints.insert(endpoint);
+        self.by_id.insert(member.id.clone(), key);
+        Some(key)
+    }
+}
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -3,7 +3,7 @@
 use super::{Note, Scheduler};
 use crate::job::endpoint::Endpoint;
 use crate::job::live::{Job, Terms};
-use crate::job::{Configuration, EndpointKey, JobKey, Progress, Record, Report, State};
+use crate::job::{Configuration, EndpointKey, Progress, Record, Report, State};
 use crate::time::{Instant, Timestamp};
 
 impl Scheduler {
@@ -50,7 +50,7 @@
         };
         let endpoint = &mut self.endpoints[key];
         endpoint.unlisted_since.get_or_insert(now);
-        if endpoint.is_idle() && !self.may_hold_unseen(now, key) {
+        if endpoint.is_idle() {
             self.bury(now, key, "registration gone");
         }
     }
@@ -66,7 +66,6 @@
         for run in runs {
             self.release(now, run, reason);
         }
-        self.roster.stale |= self.endpoints[key].recorded;
         if let Some(endpoint) = self.endpoints.remove(key)
             && self.by_id.get(&endpoint.report.id) == Some(&key)
         {
@@ -98,15 +97,18 @@
             return;
         }
         let queue = self.configuration.queue(&record.queue);
+        let given = progress.as_ref().map(Progress::given).unwrap_or_default();
         let mut job = Job::new(id.to_owned(), record, queue, progress);
-        job.inherited = version < self.term.since;
         job.progress_version = progress_version;
-        if !job.inherited {
+        if version >= self.term.since {
             let pool = self.pool_of(&job.record).to_owned();
             self.arrivals.job_came(now, &pool, &job.record);
         }
         let key = self.jobs.insert(job);
         self.by_job.insert(id.to_owned(), key);
+        for given in given {
+            self.inherit(now, key, given);
+        }
     }
 
     /// Takes note that a caller cancelled a job.
@@ -142,11 +144,4 @@
             }
         }
     }
-
-    /// Returns whether a job's tasks may be started.
-    pub(super) fn may_start(&self, now: Instant, job: JobKey) -> bool {
-        let job = &self.jobs[job];
-        !job.state.is_final()
-            && (!job.inherited || self.is_settled(now, self.pool_of(&job.record)))
-    }
 }
--- a/crates/core/src/job/scheduler/lease.rs
+++ b/crates/core/src/job/scheduler/lease.rs
@@ -47,11 +47,7 @@
         let left: Vec<EndpointKey> = self
             .endpoints
             .iter()
-            .filter(|(key, endpoint)| {
-                endpoint.is_idle()
-                    && !self.may_hold_unseen(now, *key)
-                    && self.has_left(now, endpoint)
-            })
+            .filter(|(_, endpoint)| endpoint.is_idle() && self.has_left(now, endpoint))
             .map(|(key, _)| key)
             .collect();
         for key in left {
--- a/crates/core/src/job/scheduler/order.rs
+++ b/crates/core/src/job/scheduler/order.rs
@@ -71,7 +71,7 @@
         let doubtful = |run| {
             matches!(
                 self.runs[run].phase,
-                Phase::Doubtful | Phase::StopAcknowledged(_)
+                Phase::Doubtful | Phase::Inherited | Phase::StopAcknowledged(_)
             )
         };
         endpoint.contact == Contact::Live
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -12,9 +12,6 @@
 use crate::job::{EndpointKey, JobKey, Name, Resource, Step, TaskRef};
 use crate::time::{Instant, Timestamp};
 
-/// Distance between the run numbers of two terms, above the starts of a task in one term.
-const NUMBERS_PER_TERM: u64 = 1_000;
-
 /// Place of a job in the order of starts; the lowest goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Rank {
@@ -38,23 +35,18 @@
 type Open = BTreeMap<String, Vec<EndpointKey>>;
 
 impl Scheduler {
-    pub(super) fn place(
-        &mut self,
-        now: Instant,
-        wall: Timestamp,
-        commands: &mut Vec<Command>,
-    ) {
+    pub(super) fn place(&mut self, now: Instant, wall: Timestamp) {
         let mut jobs: Vec<(Rank, JobKey)> = self
             .jobs
             .iter()
-            .filter(|(key, _)| self.may_start(now, *key))
+            .filter(|(_, job)| !job.state.is_final())
             .map(|(key, job)| (rank(job, wall), key))
             .collect();
         jobs.sort_unstable();
         let open = self.open_endpoints(now);
         self.unplaced.clear();
         for (_, key) in jobs {
-            self.place_job(now, key, &open, commands);
+            self.place_job(now, key, &open);
         }
     }
 
@@ -69,13 +61,7 @@
         open
     }
 
-    fn place_job(
-        &mut self,
-        now: Instant,
-        key: JobKey,
-        open: &Open,
-        commands: &mut Vec<Command>,
-    ) {
+    fn place_job(&mut self, now: Instant, key: JobKey, open: &Open) {
         let pool = self.pool_of(&self.jobs[key].record).to_owned();
         let endpoints = open.get(&pool).map_or(&[][..], Vec::as_slice);
         for (occurrence, step) in self.ready_steps(key) {
@@ -84,7 +70,7 @@
                 continue;
             }
             if self.jobs[key].record.spec.steps[step as usize].gang {
-                self.place_gang(now, &waiting, endpoints, commands);
+                self.place_gang(now, &waiting, endpoints);
                 continue;
             }
             for (place, &task) in waiting.iter().enumerate() {
@@ -93,7 +79,7 @@
                     break;
                 };
                 let number = self.next_number(task);
-                commands.push(Command::Start(self.start(now, task, endpoint, number)));
+                self.plan(now, task, endpoint, number);
             }
         }
     }
@@ -146,7 +132,6 @@
         now: Instant,
         members: &[TaskRef],
         endpoints: &[EndpointKey],
-        commands: &mut Vec<Command>,
     ) {
         let step = self.step(members[0]).clone();
         if members.len() < step.count as usize {
@@ -159,7 +144,7 @@
         let numbers = members.iter().map(|&member| self.next_number(member));
         let number = numbers.max().unwrap_or(1);
         for (&member, endpoint) in members.iter().zip(places) {
-            commands.push(Command::Start(self.start(now, member, endpoint, number)));
+            self.plan(now, member, endpoint, number);
         }
     }
 
@@ -295,23 +280,14 @@
     }
 
     fn next_number(&self, task: TaskRef) -> u64 {
-        let job = &self.jobs[task.job];
-        let last = job.task(task).map_or(0, |task| task.last_run);
-        let base = if job.inherited {
-            self.term.number * NUMBERS_PER_TERM
-        } else {
-            0
-        };
-        last.max(base) + 1
+        let last = self.jobs[task.job]
+            .task(task)
+            .map_or(0, |task| task.last_run);
+        last + 1
     }
 
-    fn start(
-        &mut self,
-        now: Instant,
-        task: TaskRef,
-        key: EndpointKey,
-        number: u64,
-    ) -> Start {
+    /// Gives a task to an endpoint; the start goes out once the store knows of it.
+    fn plan(&mut self, now: Instant, task: TaskRef, key: EndpointKey, number: u64) {
         let step = self.step(task);
         let (reserved, demand) = (step.reserved(), step.demand);
         let name = Name {
@@ -320,42 +296,66 @@
             step: task.step,
             index: task.index,
         };
-        let run = self.runs.insert(Run {
+        let endpoint = &self.endpoints[key].report;
+        let free = endpoint
+            .capacity
+            .cpu
+            .saturating_sub(self.endpoints[key].used.cpu);
+        self.notes.push(Note::Placed {
             name: name.clone(),
             number,
+            endpoint: endpoint.id.clone(),
+            free_cpu: free.saturating_sub(reserved.cpu),
+        });
+        let job = &mut self.jobs[task.job];
+        job.touch(now);
+        job.has_planned = true;
+        let generation = job.generation;
+        let run = self.runs.insert(Run {
+            name,
+            number,
             task: Some(task),
             endpoint: key,
             reserved,
             demand,
-            phase: Phase::Starting,
+            phase: Phase::Planned(generation),
             sent_at: now,
             percent: 0,
             gauge: 0,
             pace: 100,
         });
         self.attach(run, Some(task), key, reserved, demand);
+    }
+
+    /// Sends the starts of which the store knows.
+    pub(super) fn order_starts(&mut self, now: Instant, commands: &mut Vec<Command>) {
         let bound = self.lease_bound(now);
-        let endpoint = &mut self.endpoints[key];
-        endpoint.lease_bound = endpoint.lease_bound.max(bound);
-        let (used, capacity) = (endpoint.used.cpu, endpoint.report.capacity.cpu);
-        self.notes.push(Note::Placed {
-            name: name.clone(),
-            number,
-            endpoint: endpoint.report.id.clone(),
-            free_cpu: capacity.saturating_sub(used),
-        });
-        let job = &self.jobs[task.job];
-        Start {
-            run,
-            target: endpoint.target(),
-            name,
-            number,
-            payload: job.record.spec.payload.clone(),
-            checkpoint: job
-                .task(task)
-                .map_or_else(String::new, |task| task.checkpoint.clone()),
-            lease_end_ms: endpoint.lease_end(now, self.options.lease_term),
-            fence: self.term.fence,
+        for (key, run) in &mut self.runs {
+            let (Phase::Planned(generation), Some(task)) = (run.phase, run.task) else {
+                continue;
+            };
+            let Some(job) = self.jobs.get(task.job) else {
+                continue;
+            };
+            if job.saved_generation < generation {
+                continue;
+            }
+            let endpoint = &mut self.endpoints[run.endpoint];
+            run.phase = Phase::Starting;
+            run.sent_at = now;
+            endpoint.lease_bound = endpoint.lease_bound.max(bound);
+            let place = job.task(task);
+            commands.push(Command::Start(Start {
+                run: key,
+                target: endpoint.target(),
+                name: run.name.clone(),
+                number: run.number,
+                payload: job.record.spec.payload.clone(),
+                checkpoint: place
+                    .map_or_else(String::new, |place| place.checkpoint.clone()),
+                lease_end_ms: endpoint.lease_end(now, self.options.lease_term),
+                fence: self.term.fence,
+            }));
         }
     }
 }
--- a/crates/core/src/job/scheduler/save.rs
+++ b/crates/core/src/job/scheduler/save.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use super::{Command, Progress, Scheduler};
-use crate::job::JobKey;
+use crate::job::record::Member;
+use crate::job::{JobKey, RunKey};
 use crate::time::Instant;
 
 /// Time for which changes are gathered before they are written.
@@ -47,7 +48,7 @@
         let mut due: Vec<JobKey> = Vec::new();
         for (key, job) in &self.jobs {
             let gathered = now.saturating_since(job.changed_at) >= GATHER_TIME;
-            if !job.is_saved() && (gathered || job.state.is_final()) {
+            if !job.is_saved() && (gathered || job.has_planned || job.state.is_final()) {
                 due.push(key);
             }
         }
@@ -61,7 +62,7 @@
             Save {
                 job: key,
                 id: job.id.clone(),
-                progress: job.snapshot(),
+                progress: job.snapshot(|run| self.member_of(run)),
                 generation: job.generation,
                 version: job.progress_version,
             }
@@ -70,6 +71,16 @@
         self.saves_in_flight = true;
     }
 
+    fn member_of(&self, run: RunKey) -> Option<Member> {
+        let report = &self.endpoints.get(self.runs.get(run)?.endpoint)?.report;
+        Some(Member {
+            id: report.id.clone(),
+            born: report.born,
+            address: report.address,
+            pool: report.pool.clone(),
+        })
+    }
+
     /// Takes how a write of progress ended.
     pub fn saved(&mut self, now: Instant, saves: &[Save], ending: &Ending) {
         self.saves_in_flight = false;
@@ -87,6 +98,7 @@
                     if let Some(job) = self.jobs.get_mut(save.job) {
                         job.progress_version = *version;
                         job.saved_generation = save.generation;
+                        job.has_planned &= job.generation > save.generation;
                         job.changed_at = now;
                     }
                 }
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -311,6 +311,24 @@
     let chain = world.submit("a", spec(vec![step(1, 1_000, 500), second]));
     world.pass(SECOND / 4);
     world.elect(false);
-    assert!(world.pass_until_over(&chain, 2 * SECOND), "its next step waits for nothing");
+    assert!(
+        world.pass_until_over(&chain, 2 * SECOND),
+        "its next step waits for nothing"
+    );
     assert!(world.pass_until_over(&id, 8 * SECOND));
 }
+
+#[test]
+fn a_new_leader_goes_on_with_tasks_that_no_cut_concerns() {
+    let mut world = world(2);
+    let cut = world.submit("a", spec(vec![step(1, 20_000, 60_000)]));
+    world.pass(SECOND / 2);
+    let place = world.places(&format!("{cut}.0.0.0")).remove(0);
+    let mut second = step(1, 20_000, 500);
+    second.after = vec![0];
+    let other = world.submit("a", spec(vec![step(1, 20_000, 500), second]));
+    world.pass(SECOND / 4);
+    world.endpoints.get_mut(&place).expect("it exists").link = Link::Cut;
+    world.elect(false);
+    assert!(world.pass_until_over(&other, 2 * SECOND));
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::configuration::{Pool, Queue, Workspace};
-use rhubarbrill_core::job::record::{Record, Roster};
+use rhubarbrill_core::job::record::Record;
 use rhubarbrill_core::job::scheduler::{
     Authority, Command, EndRow, Ending, Held, Hold, Host, HostState, Options, Rejection,
     Reply, Row, Scheduler, Settled, Start, Stop, Term, Upkeep, WaveState,
@@ -99,7 +99,6 @@
     pub hosts: BTreeMap<String, Host>,
     pub progress: BTreeMap<String, Progress>,
     pub records: BTreeMap<String, Record>,
-    pub roster: Roster,
     pub seen: Seen,
     pub configuration: Configuration,
     /// Whether the store answers.
@@ -107,7 +106,6 @@
     busy_hosts: BTreeMap<String, (Instant, String, HostState)>,
     versions: BTreeMap<String, u64>,
     revision: u64,
-    roster_version: u64,
     term: Term,
     done: BTreeSet<String>,
     births: u64,
@@ -207,14 +205,12 @@
             hosts: BTreeMap::new(),
             progress: BTreeMap::new(),
             records: BTreeMap::new(),
-            roster: Roster::default(),
             seen: Seen::default(),
             configuration,
             store_answers: true,
             busy_hosts: BTreeMap::new(),
             versions: BTreeMap::new(),
             revision: 100,
-            roster_version: 0,
             term,
             done: BTreeSet::new(),
             births: 0,
@@ -332,8 +328,6 @@
                     .set_endpoint(self.now, endpoint.report.clone());
             }
         }
-        self.scheduler
-            .inherit(self.now, &self.roster, self.roster_version);
         for (id, record) in &self.records {
             let progress = self.progress.get(id).cloned().map(|held| {
                 (
@@ -525,16 +519,6 @@
                 self.scheduler
                     .saved(self.now, &saves, &Ending::Saved(self.revision));
             }
-            Command::Record(recording) => {
-                if !self.store_answers {
-                    self.scheduler.recorded(&recording, Err(None));
-                    return;
-                }
-                self.revision += 1;
-                self.roster = recording.roster.clone();
-                self.roster_version = self.revision;
-                self.scheduler.recorded(&recording, Ok(self.revision));
-            }
             Command::Move(order) => {
                 self.seen
                     .moves
--- a/crates/dispatch/src/key.rs
+++ b/crates/dispatch/src/key.rs
@@ -9,9 +9,6 @@
 /// Key of the record that counts terms.
 pub const TERM: &str = "rhubarbrill/term";
 
-/// Key of the record of endpoints that may hold runs.
-pub const ROSTER: &str = "rhubarbrill/roster";
-
 /// A record of the project.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Key {
@@ -19,8 +16,6 @@
     Leader,
     /// The count of terms.
     Term,
-    /// The endpoints that may hold runs.
-    Roster,
     /// A submitted job, by its identity.
     Job(String),
     /// A job's progress, by its identity.
@@ -57,7 +52,6 @@
     match rest.split_once('/') {
         None if rest == "leader" => Some(Key::Leader),
         None if rest == "term" => Some(Key::Term),
-        None if rest == "roster" => Some(Key::Roster),
         Some(("job", id)) => Some(Key::Job(id.to_owned())),
         Some(("progress", id)) => Some(Key::Progress(id.to_owned())),
         Some(("cancel", id)) => Some(Key::Cancellation(id.to_owned())),
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rhubarbrill_core::job::scheduler::{Ending, Recording, Save, Wave, WaveState};
+use rhubarbrill_core::job::scheduler::{Ending, Save, Wave, WaveState};
 use rhubarbrill_event::Event;
 use serde::Serialize;
 use slog::o;
@@ -71,39 +71,6 @@
     }
 }
 
-/// Records which endpoints may hold runs.
-pub(super) fn record<P: Platform>(shared: &Rc<Shared<P>>, recording: Recording) {
-    let shared = Rc::clone(shared);
-    tokio::task::spawn_local(async move {
-        let mut conditions = vec![leadership(&shared)];
-        conditions.push(Condition {
-            key: key::ROSTER.to_owned(),
-            revision: recording.version,
-        });
-        let value = own(&shared, key::ROSTER.to_owned(), &recording.roster);
-        let transaction = Transaction {
-            conditions,
-            writes: value.into_iter().collect(),
-            removals: Vec::new(),
-        };
-        let ended = match shared.node.platform.store().commit(&transaction).await {
-            Ok(Committed::Done(revision)) => Ok(revision),
-            Ok(Committed::Conflict(items)) => {
-                let item = items.iter().find(|item| item.key == key::ROSTER);
-                Err(item.map(|item| item.revision))
-            }
-            Ok(Committed::LeaseGone) => Err(None),
-            Err(failure) => {
-                let fields = o!("reason" => failure.to_string(), "key" => key::ROSTER);
-                event::log(&shared.node.log, Event::SaveFailed, fields);
-                tokio::time::sleep(RETRY_PAUSE).await;
-                Err(None)
-            }
-        };
-        answer(&shared, Message::Recorded(recording, ended));
-    });
-}
-
 /// Writes a wave's state for operators, and records it.
 pub(super) fn report_wave<P: Platform>(
     shared: &Rc<Shared<P>>,
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
-    Authority, Command, Ending, Held, Host, Options, Recording, Save, Scheduler, Settled,
-    Upkeep, Wave, WaveState,
+    Authority, Command, Ending, Held, Host, Options, Save, Scheduler, Settled, Upkeep,
+    Wave, WaveState,
 };
 use rhubarbrill_core::job::{EndpointKey, RunKey};
 use rhubarbrill_core::time::Instant;
@@ -55,8 +55,6 @@
     Held(EndpointKey, Instant, Held),
     /// A write of progress ended.
     Saved(Vec<Save>, Ending),
-    /// A recording of endpoints ended.
-    Recorded(Recording, Result<u64, Option<u64>>),
     /// The hosts were listed by a call that was made at the instant.
     Hosts(Instant, Vec<Host>),
     /// An order to move a host ended.
@@ -204,9 +202,6 @@
     for report in view.endpoints.values() {
         scheduler.set_endpoint(now, report.clone());
     }
-    if let Some(roster) = &view.roster {
-        scheduler.inherit(now, &roster.value, roster.revision);
-    }
     for id in view.jobs.keys() {
         learn_job(&view, &mut scheduler, now, id);
     }
@@ -304,7 +299,6 @@
         Message::Stopped(run, settled) => scheduler.stopped(now, run, settled),
         Message::Held(endpoint, sent, held) => scheduler.held(now, endpoint, sent, held),
         Message::Saved(saves, ending) => scheduler.saved(now, &saves, &ending),
-        Message::Recorded(recording, ended) => scheduler.recorded(&recording, ended),
         Message::Hosts(asked, hosts) => scheduler.set_hosts(asked, hosts),
         Message::Moved(host, outcome) => match outcome {
             HostOrder::Accepted => {}
@@ -341,7 +335,6 @@
         Command::Hold(order) => orders::hold(shared, order),
         Command::Pace(order) => orders::pace(shared, order),
         Command::Save(saves) => save::progress(shared, saves),
-        Command::Record(recording) => save::record(shared, recording),
         Command::Move(order) => hosts::move_host(shared, order),
         Command::Maintain(order) => hosts::maintain(shared, order),
         Command::ReportWave(wave, state) => {
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
-use rhubarbrill_core::job::record::Roster;
 use rhubarbrill_core::job::scheduler::Wave;
 use rhubarbrill_core::job::{Configuration, Progress, Record, Report, State, Submission};
 use rhubarbrill_core::time::Instant;
@@ -120,8 +119,6 @@
     pub leader: Option<Versioned<Leader>>,
     /// The count of terms.
     pub term: Option<Versioned<Count>>,
-    /// The endpoints that may hold runs.
-    pub roster: Option<Versioned<Roster>>,
     /// The waves.
     pub waves: BTreeMap<u64, Wave>,
     /// What is recorded of the waves.
@@ -224,7 +221,6 @@
             }
             Some(
                 Key::Term
-                | Key::Roster
                 | Key::Progress(_)
                 | Key::Cancellation(_)
                 | Key::Wave(_),
@@ -253,10 +249,6 @@
                 Ok(value) => self.term = Some(Versioned { value, revision }),
                 Err(reason) => return Some(reason),
             },
-            Key::Roster => match decode(value) {
-                Ok(value) => self.roster = Some(Versioned { value, revision }),
-                Err(reason) => return Some(reason),
-            },
             Key::Job(id) => match decode(value) {
                 Ok(Submission::Accepted(record)) => {
                     let value = Rc::from(record);
