--- a/crates/core/src/job/resource.rs
+++ b/crates/core/src/job/resource.rs
@@ -44,6 +44,15 @@
         self.gpu = self.gpu.saturating_sub(other.gpu);
     }
 
+    /// Returns how much of this capacity `used` leaves, over processor and memory together,
+    /// in thousandths of each.
+    pub fn spare_permille(&self, used: &Self) -> u64 {
+        let spare = |capacity: u64, used: u64| {
+            capacity.saturating_sub(used) * 1_000 / capacity.max(1)
+        };
+        spare(self.cpu, used.cpu) + spare(self.memory_mb, used.memory_mb)
+    }
+
     /// Returns this amount `times` over.
     pub const fn times(&self, times: u64) -> Self {
         Self {
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -16,7 +16,7 @@
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_000);
 
 /// Time for which a host stays idle before it leaves its pool.
-const IDLE_TIME: Duration = Duration::from_millis(1_000);
+const IDLE_TIME: Duration = Duration::from_millis(400);
 
 /// Time after which a move without a sign of life is no longer counted on.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -353,7 +353,7 @@
                 continue;
             };
             // One host's worth stays free for the next job.
-            if balance.held >= balance.needed + 2 * cpu {
+            if balance.held >= balance.needed + cpu {
                 self.order_move(now, &host, &standby, balance, balances, commands);
             }
         }
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -234,7 +234,7 @@
                 let endpoint = &self.endpoints[key];
                 let remote = !step.affinity.is_empty()
                     && !endpoint.report.labels.contains(&step.affinity);
-                let free = endpoint.report.capacity.cpu - endpoint.used.cpu;
+                let free = endpoint.report.capacity.spare_permille(&endpoint.used);
                 let lasting = if step.long_running {
                     self.lasting_runs(key)
                 } else {
