Record which hosts get orders, so that a new leader need not wait for the others

Cause: a new leader gave no order to any host for 3 s, lest it meet an earlier leader's at the same host. Also ruled out as the cause: admission, placement. Change: the hosts of each batch of orders are recorded before the orders go out; a new leader keeps only those hosts quiet. The leader's lease is 1.4 s, renewed each 0.3 s (2 s, 0.5 s). An entry host that hasn't heard of the store for 1.7 s refuses submissions at once.

--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -4,7 +4,7 @@
 //! between. Hosts follow the turns. A pool grows as soon as its waiting and expected work
 //! doesn't fit, and an idle host leaves once keeping it costs more than moving it twice.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use super::{Command, Note, Scheduler};
@@ -67,8 +67,10 @@
     pub(super) list: BTreeMap<String, Host>,
     /// Orders that the list may not show yet.
     pub(super) ordered: BTreeMap<String, Ordered>,
-    /// No order before then, since an earlier leader's orders may be on their way.
-    pub(super) quiet_until: Instant,
+    /// Hosts that an earlier leader may have given orders to.
+    inherited: BTreeSet<String>,
+    /// No order for these before then.
+    quiet_until: Instant,
 }
 
 /// An order for a host.
@@ -83,9 +85,16 @@
         Self {
             list: BTreeMap::new(),
             ordered: BTreeMap::new(),
+            inherited: BTreeSet::new(),
             quiet_until: now,
         }
     }
+
+    /// Returns whether an order for a host can't meet one of an earlier leader.
+    pub(super) fn is_free(&self, now: Instant, host: &str) -> bool {
+        !self.ordered.contains_key(host)
+            && (now >= self.quiet_until || !self.inherited.contains(host))
+    }
 }
 
 /// Work that came to each pool lately.
@@ -171,8 +180,9 @@
             .collect();
     }
 
-    /// Lets no order for hosts out before `until`.
-    pub const fn keep_hosts_until(&mut self, until: Instant) {
+    /// Lets no order out before `until` for hosts that an earlier leader gave orders to.
+    pub fn keep_hosts_until(&mut self, hosts: BTreeSet<String>, until: Instant) {
+        self.hosts.inherited = hosts;
         self.hosts.quiet_until = until;
     }
 
@@ -182,9 +192,6 @@
     }
 
     pub(super) fn resize_pools(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        if now < self.hosts.quiet_until {
-            return;
-        }
         let mut balances = self.balances(now);
         self.grow(now, &mut balances, commands);
         self.shrink(now, &mut balances, commands);
@@ -310,7 +317,7 @@
         let hosts = self.hosts.list.values().filter(|host| {
             host.pool != to
                 && host.state == HostState::Up
-                && !self.hosts.ordered.contains_key(&host.name)
+                && self.hosts.is_free(now, &host.name)
                 && !self.is_awaiting_maintenance(&host.name)
         });
         hosts
@@ -343,7 +350,7 @@
             .values()
             .filter(|host| {
                 host.state == HostState::Up
-                    && !self.hosts.ordered.contains_key(&host.name)
+                    && self.hosts.is_free(now, &host.name)
                     && self.is_host_idle(now, host, IDLE_TIME)
             })
             .map(|host| (host.name.clone(), host.pool.clone(), host.capacity.cpu))
@@ -352,8 +359,8 @@
             let Some(balance) = balances.get(&pool).copied() else {
                 continue;
             };
-            // One host's worth stays free for the next job.
-            if balance.held >= balance.needed + cpu {
+            // One host stays for the next job.
+            if balance.held >= balance.needed.max(cpu) + cpu {
                 self.order_move(now, &host, &standby, balance, balances, commands);
             }
         }
--- a/crates/core/src/job/scheduler/wave.rs
+++ b/crates/core/src/job/scheduler/wave.rs
@@ -125,7 +125,7 @@
     }
 
     pub(super) fn schedule_waves(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        if now < self.hosts.quiet_until || self.hosts.list.is_empty() {
+        if self.hosts.list.is_empty() {
             return;
         }
         let numbers: Vec<u64> = self.waves.open.keys().copied().collect();
@@ -182,7 +182,7 @@
             let free = !open.done.contains(name)
                 && !open.ordered.contains_key(name)
                 && host.state == HostState::Up
-                && !self.hosts.ordered.contains_key(name);
+                && self.hosts.is_free(now, name);
             if free {
                 candidates.push(name.clone());
             }
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -9,7 +9,9 @@
 
 mod job_support;
 
-use job_support::{CAPACITY, Link, World, configuration, spec, step};
+use job_support::{
+    CAPACITY, Link, World, configuration, configuration_with_spare, spec, step,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -20,6 +22,14 @@
     world
 }
 
+fn world_with_spare(hosts: usize, spare: usize) -> World {
+    let mut world = World::new(configuration_with_spare(&["a"]));
+    world.add_hosts("a", hosts);
+    world.add_hosts("spare", spare);
+    world.pass(SECOND / 5);
+    world
+}
+
 fn starts_of<'a>(
     world: &'a World,
     task: &str,
@@ -268,8 +278,7 @@
 
 #[test]
 fn a_pool_whose_only_host_is_emptied_gets_another() {
-    let mut world = world(1);
-    world.add_hosts("spare", 2);
+    let mut world = world_with_spare(1, 2);
     let mut lasting = step(4, 1_000, 0);
     lasting.long_running = true;
     lasting.max_unavailable = Some(1);
@@ -300,8 +309,7 @@
 
 #[test]
 fn a_new_leader_waits_for_no_endpoint_whose_host_has_moved_away() {
-    let mut world = world(3);
-    world.add_hosts("spare", 1);
+    let mut world = world_with_spare(3, 1);
     let id = world.submit("a", spec(vec![step(1, 1_000, 12_000)]));
     // The idle hosts leave the pool meanwhile.
     world.pass(6 * SECOND);
@@ -332,3 +340,11 @@
     world.elect(false);
     assert!(world.pass_until_over(&other, 2 * SECOND));
 }
+
+#[test]
+fn a_pool_keeps_a_host_for_the_next_job() {
+    let mut world = world_with_spare(4, 0);
+    world.pass(10 * SECOND);
+    let left = world.hosts.values().filter(|host| host.pool == "a").count();
+    assert_eq!(left, 1);
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -138,21 +138,28 @@
     }
 }
 
-/// Returns a configuration with these pools, a spare pool and one workspace without limits.
+/// Returns a configuration with these pools and one that is switched off.
+pub fn configuration_with_spare(pools: &[&str]) -> Configuration {
+    let mut configuration = configuration(pools);
+    configuration.pools.push(Pool {
+        name: "spare".to_owned(),
+        standby: true,
+        rejects_overload: true,
+    });
+    configuration
+}
+
+/// Returns a configuration with these pools and one workspace without limits.
 pub fn configuration(pools: &[&str]) -> Configuration {
-    let pool = |name: &str, standby| Pool {
+    let pool = |name: &str| Pool {
         name: name.to_owned(),
-        standby,
+        standby: false,
         rejects_overload: true,
     };
     Configuration {
         version: 1,
         queues: pools.iter().map(|name| queue(name)).collect(),
-        pools: pools
-            .iter()
-            .map(|name| pool(name, false))
-            .chain([pool("spare", true)])
-            .collect(),
+        pools: pools.iter().map(|name| pool(name)).collect(),
         workspaces: vec![Workspace {
             name: "w".to_owned(),
             keys: vec!["k".to_owned()],
--- a/crates/dispatch/src/front/submit.rs
+++ b/crates/dispatch/src/front/submit.rs
@@ -18,6 +18,10 @@
 /// When a caller may come back after the store turned a submission away.
 const STORE_RETRY: Duration = Duration::from_secs(1);
 
+/// Age of the newest word of the store above which it counts as lost: a watch is answered
+/// within one second.
+const LOST_AGE: Duration = Duration::from_millis(1_700);
+
 /// Pause before the store is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -52,6 +56,10 @@
     if known_state(node, &call.id).is_some() {
         return Answer::new(StatusCode::OK, "accepted before");
     }
+    if is_store_lost(node) {
+        // Nothing was sent, so the job is certainly not accepted here.
+        return turned_away(node);
+    }
     let record = Record {
         queue: call.queue.name.clone(),
         pool: call.queue.pool.clone(),
@@ -237,6 +245,13 @@
     Ok(progress.state)
 }
 
+/// Returns whether the store hasn't answered for a while, so that a submission would only
+/// wait for nothing.
+fn is_store_lost<P>(node: &Node<P>) -> bool {
+    node.store_age(clock::now())
+        .is_none_or(|age| age > LOST_AGE)
+}
+
 fn known_state<P>(node: &Node<P>, id: &str) -> Option<State> {
     let view = node.view.borrow();
     let job = view.jobs.get(id)?;
--- a/crates/dispatch/src/key.rs
+++ b/crates/dispatch/src/key.rs
@@ -9,6 +9,9 @@
 /// Key of the record that counts terms.
 pub const TERM: &str = "rhubarbrill/term";
 
+/// Key of the record of orders for hosts.
+pub const ORDERS: &str = "rhubarbrill/orders";
+
 /// A record of the project.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Key {
@@ -16,6 +19,8 @@
     Leader,
     /// The count of terms.
     Term,
+    /// Hosts that were given orders lately.
+    Orders,
     /// A submitted job, by its identity.
     Job(String),
     /// A job's progress, by its identity.
@@ -52,6 +57,7 @@
     match rest.split_once('/') {
         None if rest == "leader" => Some(Key::Leader),
         None if rest == "term" => Some(Key::Term),
+        None if rest == "orders" => Some(Key::Orders),
         Some(("job", id)) => Some(Key::Job(id.to_owned())),
         Some(("progress", id)) => Some(Key::Progress(id.to_owned())),
         Some(("cancel", id)) => Some(Key::Cancellation(id.to_owned())),
--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -17,7 +17,7 @@
 use crate::{clock, key};
 
 /// Term of the leader's lease: a new leader follows within it, and runs outlive it.
-const LEASE_TERM: Duration = Duration::from_millis(2_000);
+const LEASE_TERM: Duration = Duration::from_millis(1_400);
 
 /// Time between two looks for a leader, beside those that changes cause.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/dispatch/src/lead/hosts.rs
+++ b/crates/dispatch/src/lead/hosts.rs
@@ -1,21 +1,29 @@
 //! Orders for hosts, and their list.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{Authority, Move, Upkeep};
+use rhubarbrill_core::time::Instant;
 use rhubarbrill_event::Event;
 use slog::o;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::sync::CancellationToken;
 
 use super::orders::answer;
+use super::save;
 use super::term::{Message, Shared};
 use crate::edge::{HostOrder, Hosts, Platform};
+use crate::view::Orders;
 use crate::{clock, event};
 
 /// Time between two readings of the list.
 const LIST_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Most orders that one record covers.
+const MAX_BATCH: usize = 64;
+
 /// Reads the list of hosts until the term is over.
 pub(super) async fn list<P: Platform>(shared: Rc<Shared<P>>, done: CancellationToken) {
     let mut lost = false;
@@ -41,38 +49,80 @@
     }
 }
 
-/// Sends an order to move a host.
-pub(super) fn move_host<P: Platform>(shared: &Rc<Shared<P>>, order: Move) {
-    let shared = Rc::clone(shared);
-    tokio::task::spawn_local(async move {
-        let outcome = if is_certain(&shared) {
-            let fence = shared.mandate.term.fence;
-            shared.node.platform.hosts().move_host(&order, fence).await
-        } else {
-            HostOrder::Refused("leadership uncertain")
-        };
-        report(&shared, "move", &order.host, outcome);
-        answer(&shared, Message::Moved(order.host, outcome));
-    });
+/// An order for a host.
+#[derive(Clone, Debug)]
+pub(super) enum Order {
+    /// Join another pool.
+    Move(Move),
+    /// Begin maintenance.
+    Maintain(Upkeep),
+}
+
+impl Order {
+    fn host(&self) -> &str {
+        match self {
+            Self::Move(order) => &order.host,
+            Self::Maintain(order) => &order.host,
+        }
+    }
+
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Move(_) => "move",
+            Self::Maintain(_) => "maintenance",
+        }
+    }
+}
+
+/// Hands an order to the task that sends them.
+pub(super) fn order<P>(shared: &Shared<P>, order: Order) {
+    // After the term nobody sends orders any more.
+    let _ = shared.host_orders.send(order);
 }
 
-/// Sends an order to begin a host's maintenance.
-pub(super) fn maintain<P: Platform>(shared: &Rc<Shared<P>>, order: Upkeep) {
-    let shared = Rc::clone(shared);
-    tokio::task::spawn_local(async move {
-        let outcome = if is_certain(&shared) {
-            let fence = shared.mandate.term.fence;
-            shared.node.platform.hosts().maintain(&order, fence).await
-        } else {
-            HostOrder::Refused("leadership uncertain")
-        };
-        report(&shared, "maintenance", &order.host, outcome);
-        answer(&shared, Message::Maintained(order, outcome));
-    });
+/// Sends orders until the term is over, each after the store has its host on record: two
+/// leaders must not give orders to one host shortly after each other, and a new one must
+/// not wait for all the other hosts.
+pub(super) async fn send<P: Platform>(
+    shared: Rc<Shared<P>>,
+    mut orders: UnboundedReceiver<Order>,
+    done: CancellationToken,
+) {
+    let mut recent: BTreeMap<String, Instant> = BTreeMap::new();
+    loop {
+        let mut batch = Vec::new();
+        tokio::select! {
+            () = done.cancelled() => return,
+            _ = orders.recv_many(&mut batch, MAX_BATCH) => {}
+        }
+        let now = clock::now();
+        let memory = shared.node.settings.host_order_pause * 2;
+        recent.retain(|_, at| now.saturating_since(*at) < memory);
+        recent.extend(batch.iter().map(|order| (order.host().to_owned(), now)));
+        let hosts = recent.keys().cloned().collect();
+        let recorded = save::record_orders(&shared, Orders { hosts }).await;
+        for order in batch {
+            tokio::task::spawn_local(carry_out(Rc::clone(&shared), order, recorded));
+        }
+    }
 }
 
-fn is_certain<P>(shared: &Shared<P>) -> bool {
-    shared.mandate.certainty.authority() == Authority::Certain
+async fn carry_out<P: Platform>(shared: Rc<Shared<P>>, order: Order, recorded: bool) {
+    let certain = shared.mandate.certainty.authority() == Authority::Certain;
+    let fence = shared.mandate.term.fence;
+    let hosts = shared.node.platform.hosts();
+    let outcome = match &order {
+        _ if !recorded => HostOrder::Refused("not on record"),
+        _ if !certain => HostOrder::Refused("leadership uncertain"),
+        Order::Move(order) => hosts.move_host(order, fence).await,
+        Order::Maintain(order) => hosts.maintain(order, fence).await,
+    };
+    report(&shared, order.name(), order.host(), outcome);
+    let message = match order {
+        Order::Move(order) => Message::Moved(order.host, outcome),
+        Order::Maintain(order) => Message::Maintained(order, outcome),
+    };
+    answer(&shared, message);
 }
 
 fn report<P>(shared: &Shared<P>, order: &'static str, host: &str, outcome: HostOrder) {
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -12,7 +12,7 @@
 use super::orders::answer;
 use super::term::{Message, Shared};
 use crate::edge::{Committed, Condition, Platform, Store, Transaction, Write};
-use crate::view::WaveRecord;
+use crate::view::{Orders, WaveRecord};
 use crate::{event, key};
 
 /// Pause after a failed write.
@@ -116,6 +116,15 @@
     });
 }
 
+/// Records which hosts are given orders; returns whether that is certain.
+pub(super) async fn record_orders<P: Platform>(
+    shared: &Shared<P>,
+    orders: Orders,
+) -> bool {
+    let writes = own(shared, key::ORDERS.to_owned(), &orders);
+    commit(shared, writes.into_iter().collect()).await
+}
+
 async fn commit<P: Platform>(shared: &Shared<P>, writes: Vec<Write>) -> bool {
     let transaction = Transaction {
         conditions: vec![leadership(shared)],
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -17,6 +17,7 @@
 
 use super::authority::HOLD_ON;
 use super::election::Mandate;
+use super::hosts::Order;
 use super::{hosts, notes, orders, save};
 use crate::edge::{HostOrder, Platform, Store};
 use crate::node::Node;
@@ -30,7 +31,7 @@
 const HOST_TICK: Duration = Duration::from_millis(100);
 
 /// Time between two renewals of the leader's lease.
-const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+const RENEW_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Longest lease that an order grants to runs: long enough for a new leader to follow.
 const RUN_LEASE: Duration = Duration::from_millis(5_000);
@@ -71,22 +72,27 @@
     pub(super) node: Rc<Node<P>>,
     pub(super) mandate: Mandate,
     pub(super) answers: UnboundedSender<Message>,
+    pub(super) host_orders: UnboundedSender<Order>,
 }
 
 /// Leads until the leadership is over or the process is asked to stop.
 pub(super) async fn lead<P: Platform>(node: Rc<Node<P>>, mandate: Mandate) {
     let (answers, mut messages) = unbounded_channel();
     let (news_sender, mut news) = unbounded_channel();
+    let (host_orders, orders) = unbounded_channel();
     // From here on each change of the copy is news.
     *node.leader_news.borrow_mut() = Some(news_sender);
     let shared = Rc::new(Shared {
         node,
         mandate,
         answers,
+        host_orders,
     });
     let done = CancellationToken::new();
     let renewal = tokio::task::spawn_local(renew(Rc::clone(&shared), done.clone()));
     let listing = tokio::task::spawn_local(hosts::list(Rc::clone(&shared), done.clone()));
+    let ordering =
+        tokio::task::spawn_local(hosts::send(Rc::clone(&shared), orders, done.clone()));
     report(&shared, Event::TermBegan);
     if catch_up(&shared).await {
         while news.try_recv().is_ok() {}
@@ -94,8 +100,8 @@
     }
     done.cancel();
     *shared.node.leader_news.borrow_mut() = None;
-    // Both end by themselves; a failure in them has been logged.
-    let _ = tokio::join!(renewal, listing);
+    // They end by themselves; a failure in them has been logged.
+    let _ = tokio::join!(renewal, listing, ordering);
     // Without an answer the lease ends by itself.
     let _ = shared
         .node
@@ -192,10 +198,9 @@
         notice_time: settings.notice_time,
     };
     let mut scheduler = Scheduler::new(options, shared.mandate.term, now);
-    if shared.mandate.term.number > 1 {
-        scheduler.keep_hosts_until(now + settings.host_order_pause);
-    }
     let view = shared.node.view.borrow();
+    let quiet_until = now + settings.host_order_pause;
+    scheduler.keep_hosts_until(view.orders.hosts.clone(), quiet_until);
     if let Some(configuration) = &view.configuration {
         scheduler.set_configuration((**configuration).clone());
     }
@@ -335,8 +340,8 @@
         Command::Hold(order) => orders::hold(shared, order),
         Command::Pace(order) => orders::pace(shared, order),
         Command::Save(saves) => save::progress(shared, saves),
-        Command::Move(order) => hosts::move_host(shared, order),
-        Command::Maintain(order) => hosts::maintain(shared, order),
+        Command::Move(order) => hosts::order(shared, Order::Move(order)),
+        Command::Maintain(order) => hosts::order(shared, Order::Maintain(order)),
         Command::ReportWave(wave, state) => {
             let done = scheduler.maintained_hosts(wave.number);
             save::report_wave(shared, wave, state, done);
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -37,6 +37,13 @@
     pub completed: bool,
 }
 
+/// The record of orders for hosts, written before each order.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Orders {
+    /// Hosts that the leader gave orders to lately.
+    pub hosts: BTreeSet<String>,
+}
+
 /// A value with the store revision of its last change.
 #[derive(Clone, Debug)]
 pub struct Versioned<T> {
@@ -119,6 +126,8 @@
     pub leader: Option<Versioned<Leader>>,
     /// The count of terms.
     pub term: Option<Versioned<Count>>,
+    /// The hosts that were given orders lately.
+    pub orders: Orders,
     /// The waves.
     pub waves: BTreeMap<u64, Wave>,
     /// What is recorded of the waves.
@@ -221,6 +230,7 @@
             }
             Some(
                 Key::Term
+                | Key::Orders
                 | Key::Progress(_)
                 | Key::Cancellation(_)
                 | Key::Wave(_),
@@ -249,6 +259,10 @@
                 Ok(value) => self.term = Some(Versioned { value, revision }),
                 Err(reason) => return Some(reason),
             },
+            Key::Orders => match decode(value) {
+                Ok(value) => self.orders = value,
+                Err(reason) => return Some(reason),
+            },
             Key::Job(id) => match decode(value) {
                 Ok(Submission::Accepted(record)) => {
                     let value = Rc::from(record);
