Spend hosts and store calls where they help

Ruled out: the election (a new leader stood 0.1 s after the processes came back). Change: no host is fetched from a zone most of whose endpoints don't answer; late work asks for a quarter of what it takes; the forecast looks 2 s ahead, also for long tasks; a host stays quiet only for what is left of the 3 s since its last order; a submission ends with 504 after two unanswered writes; followers gather changes for 150 ms (60), the leader for 20 ms (8). Tests: no_host_is_fetched_from_a_zone_that_is_cut_off and a_pool_grows_little_for_work_that_is_late_anyway (both failed before the whole change).

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -208,7 +208,7 @@
             unplaced: BTreeMap::new(),
             saves_in_flight: false,
             deposed: false,
-            hosts: capacity::Hosts::new(now),
+            hosts: capacity::Hosts::default(),
             waves: wave::Waves::default(),
             arrivals: capacity::Arrivals::default(),
             paces: pace::Paces::default(),
@@ -256,14 +256,14 @@
     }
 
     /// Decides on hosts: which to maintain now, and which to move to another pool.
-    pub fn poll_hosts(&mut self, now: Instant) -> Vec<Command> {
+    pub fn poll_hosts(&mut self, now: Instant, wall: Timestamp) -> Vec<Command> {
         let mut commands = Vec::new();
         if self.deposed {
             return commands;
         }
         self.mark_emptying();
         self.schedule_waves(now, &mut commands);
-        self.resize_pools(now, &mut commands);
+        self.resize_pools(now, wall, &mut commands);
         commands
     }
 }
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -4,17 +4,20 @@
 //! between. Hosts follow the turns. A pool grows as soon as its waiting and expected work
 //! doesn't fit, and an idle host leaves once keeping it costs more than moving it twice.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use super::{Command, Note, Scheduler};
+use super::{Command, Note, Scheduler, place};
 use crate::job::endpoint::Contact;
 use crate::job::{EndpointKey, Record, Resource};
-use crate::time::Instant;
+use crate::time::{Instant, Timestamp};
 
 /// Time over which arrivals are counted.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_000);
 
+/// Time ahead for which capacity is worked out, in milliseconds: a move takes most of it.
+const HORIZON_MS: u64 = 2_000;
+
 /// Time for which a host stays idle before it leaves its pool.
 const IDLE_TIME: Duration = Duration::from_millis(400);
 
@@ -24,6 +27,10 @@
 /// Part of a host's processor that placement fills on the whole, in percent.
 const FILL_PERCENT: u64 = 90;
 
+/// Part of waiting work that is late anyway for which a pool grows: it earns little, and
+/// takes what others leave.
+const LATE_DIVISOR: u64 = 4;
+
 /// State of a host at the platform.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HostState {
@@ -44,6 +51,8 @@
     pub name: String,
     /// Pool that it is in, or on its way to.
     pub pool: String,
+    /// Availability zone.
+    pub zone: String,
     /// What the platform does with it.
     pub state: HostState,
     /// What an endpoint on it can run.
@@ -62,15 +71,13 @@
 }
 
 /// What is known of the hosts.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Hosts {
     pub(super) list: BTreeMap<String, Host>,
     /// Orders that the list may not show yet.
     pub(super) ordered: BTreeMap<String, Ordered>,
-    /// Hosts that an earlier leader may have given orders to.
-    inherited: BTreeSet<String>,
-    /// No order for these before then.
-    quiet_until: Instant,
+    /// Hosts that an earlier leader gave orders to, and when they may get the next.
+    quiet_until: BTreeMap<String, Instant>,
 }
 
 /// An order for a host.
@@ -81,19 +88,10 @@
 }
 
 impl Hosts {
-    pub(super) const fn new(now: Instant) -> Self {
-        Self {
-            list: BTreeMap::new(),
-            ordered: BTreeMap::new(),
-            inherited: BTreeSet::new(),
-            quiet_until: now,
-        }
-    }
-
     /// Returns whether an order for a host can't meet one of an earlier leader.
     pub(super) fn is_free(&self, now: Instant, host: &str) -> bool {
         !self.ordered.contains_key(host)
-            && (now >= self.quiet_until || !self.inherited.contains(host))
+            && self.quiet_until.get(host).is_none_or(|&until| now >= until)
     }
 }
 
@@ -114,7 +112,10 @@
     pub(super) fn job_came(&mut self, now: Instant, pool: &str, record: &Record) {
         let steps = record.spec.steps.iter().filter(|step| !step.long_running);
         let work = steps
-            .map(|step| u64::from(step.count) * step.reserved().cpu * step.estimate_ms)
+            .map(|step| {
+                let busy_ms = step.estimate_ms.min(HORIZON_MS);
+                u64::from(step.count) * step.reserved().cpu * busy_ms
+            })
             .sum();
         let recent = self.recent.entry(pool.to_owned()).or_default();
         recent.push_back(Arrival { at: now, work });
@@ -180,10 +181,9 @@
             .collect();
     }
 
-    /// Lets no order out before `until` for hosts that an earlier leader gave orders to.
-    pub fn keep_hosts_until(&mut self, hosts: BTreeSet<String>, until: Instant) {
-        self.hosts.inherited = hosts;
-        self.hosts.quiet_until = until;
+    /// Lets no order out before `until` for a host that an earlier leader gave an order to.
+    pub fn keep_host_until(&mut self, host: &str, until: Instant) {
+        self.hosts.quiet_until.insert(host.to_owned(), until);
     }
 
     /// Takes that an order for a host was refused or not sent.
@@ -191,13 +191,18 @@
         self.hosts.ordered.remove(host);
     }
 
-    pub(super) fn resize_pools(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        let mut balances = self.balances(now);
+    pub(super) fn resize_pools(
+        &mut self,
+        now: Instant,
+        wall: Timestamp,
+        commands: &mut Vec<Command>,
+    ) {
+        let mut balances = self.balances(now, wall);
         self.grow(now, &mut balances, commands);
         self.shrink(now, &mut balances, commands);
     }
 
-    fn balances(&mut self, now: Instant) -> BTreeMap<String, Balance> {
+    fn balances(&mut self, now: Instant, wall: Timestamp) -> BTreeMap<String, Balance> {
         let mut balances: BTreeMap<String, Balance> = BTreeMap::new();
         for pool in &self.configuration.pools {
             if !pool.standby {
@@ -206,7 +211,7 @@
                 balances.insert(pool.name.clone(), Balance { needed, held: 0 });
             }
         }
-        let outstanding = self.outstanding();
+        let outstanding = self.outstanding(wall);
         for (pool, cpu) in outstanding {
             if let Some(balance) = balances.get_mut(&pool) {
                 balance.needed = balance.needed.max(cpu.transient * 100 / FILL_PERCENT);
@@ -264,16 +269,25 @@
     }
 
     /// Returns the processor that jobs under way take now and with their next tasks.
-    fn outstanding(&self) -> BTreeMap<String, Outstanding> {
+    fn outstanding(&self, wall: Timestamp) -> BTreeMap<String, Outstanding> {
         let mut outstanding: BTreeMap<String, Outstanding> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let pool = self.pool_of(&job.record).to_owned();
             let entry = outstanding.entry(pool).or_default();
+            let late = place::is_late(job, wall);
             for (&index, occurrence) in &job.occurrences {
                 for (place, step) in job.record.spec.steps.iter().enumerate() {
                     let group = &occurrence.groups[place];
+                    let running = group.tasks.iter().filter(|task| !task.runs.is_empty());
+                    let running = running.count() as u64;
                     let open = (group.tasks.len() - group.done) as u64;
-                    let cpu = open * step.reserved().cpu;
+                    let waiting = open.saturating_sub(running);
+                    let waiting = if late {
+                        waiting / LATE_DIVISOR
+                    } else {
+                        waiting
+                    };
+                    let cpu = (running + waiting) * step.reserved().cpu;
                     if step.long_running {
                         entry.lasting += cpu;
                     } else if job.is_ready(index, place) {
@@ -320,7 +334,9 @@
                 && self.hosts.is_free(now, &host.name)
                 && !self.is_awaiting_maintenance(&host.name)
         });
+        let cut_off = self.cut_off_zones();
         hosts
+            .filter(|host| !cut_off.contains(&host.zone.as_str()))
             .filter_map(|host| {
                 let Some(balance) = balances.get(&host.pool) else {
                     return Some((0, host));
@@ -333,6 +349,19 @@
             .map(|(_, host)| host.name.clone())
     }
 
+    /// Returns the zones most of whose endpoints don't answer: a host that moves there is of
+    /// no use.
+    fn cut_off_zones(&self) -> Vec<&str> {
+        let mut counts: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for endpoint in self.endpoints.values() {
+            let (all, lost) = counts.entry(&endpoint.report.zone).or_default();
+            *all += 1;
+            *lost += usize::from(matches!(endpoint.contact, Contact::Lost(_)));
+        }
+        let cut_off = counts.iter().filter(|(_, (all, lost))| lost * 2 > *all);
+        cut_off.map(|(zone, _)| *zone).collect()
+    }
+
     fn shrink(
         &mut self,
         now: Instant,
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -1,6 +1,6 @@
 //! Facts from the store: configuration, endpoints, jobs, cancellations.
 
-use super::{Note, Scheduler};
+use super::{Note, Scheduler, place};
 use crate::job::endpoint::Endpoint;
 use crate::job::live::{Job, Terms};
 use crate::job::{Configuration, EndpointKey, Progress, Record, Report, State};
@@ -79,6 +79,7 @@
     pub fn add_job(
         &mut self,
         now: Instant,
+        wall: Timestamp,
         id: &str,
         version: u64,
         record: Record,
@@ -100,7 +101,7 @@
         let given = progress.as_ref().map(Progress::given).unwrap_or_default();
         let mut job = Job::new(id.to_owned(), record, queue, progress);
         job.progress_version = progress_version;
-        if version >= self.term.since {
+        if version >= self.term.since && !place::is_late(&job, wall) {
             let pool = self.pool_of(&job.record).to_owned();
             self.arrivals.job_came(now, &pool, &job.record);
         }
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -45,8 +45,8 @@
         jobs.sort_unstable();
         let open = self.open_endpoints(now);
         self.unplaced.clear();
-        for (_, key) in jobs {
-            self.place_job(now, key, &open);
+        for (rank, key) in jobs {
+            self.place_job(now, key, rank.class, &open);
         }
     }
 
@@ -61,7 +61,7 @@
         open
     }
 
-    fn place_job(&mut self, now: Instant, key: JobKey, open: &Open) {
+    fn place_job(&mut self, now: Instant, key: JobKey, class: Class, open: &Open) {
         let pool = self.pool_of(&self.jobs[key].record).to_owned();
         let endpoints = open.get(&pool).map_or(&[][..], Vec::as_slice);
         for (occurrence, step) in self.ready_steps(key) {
@@ -75,7 +75,9 @@
             }
             for (place, &task) in waiting.iter().enumerate() {
                 let Some(endpoint) = self.choose(now, task, endpoints) else {
-                    self.note_unplaced(&pool, task, waiting.len() - place);
+                    if class != Class::Late {
+                        self.note_unplaced(&pool, task, waiting.len() - place);
+                    }
                     break;
                 };
                 let number = self.next_number(task);
@@ -378,6 +380,11 @@
     }
 }
 
+/// Returns whether a job is late whatever is done.
+pub(super) fn is_late(job: &Job, wall: Timestamp) -> bool {
+    rank(job, wall).class == Class::Late
+}
+
 /// Returns how long the longest chain of steps that aren't done takes, in milliseconds.
 pub(super) fn remaining_chain_ms(job: &Job) -> u64 {
     let Some(occurrence) = job.occurrences.values().next() else {
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -348,3 +348,43 @@
     let left = world.hosts.values().filter(|host| host.pool == "a").count();
     assert_eq!(left, 1);
 }
+
+#[test]
+fn no_host_is_fetched_from_a_zone_that_is_cut_off() {
+    let mut world = world_with_spare(3, 6);
+    let cut = world.hosts["m0"].zone.clone();
+    // Each endpoint is busy, so that each is asked and the cut shows.
+    let mut one_each = step(3, 20_000, 60_000);
+    one_each.max_per_endpoint = 1;
+    world.submit("a", spec(vec![one_each]));
+    world.pass(SECOND);
+    for endpoint in world.endpoints.values_mut() {
+        if endpoint.report.zone == cut {
+            endpoint.link = Link::Cut;
+        }
+    }
+    world.pass(SECOND);
+    world.seen.moves.clear();
+    world.submit("a", spec(vec![step(12, 16_000, 1_000)]));
+    world.pass(SECOND);
+    let fetched: Vec<&String> = world.seen.moves.iter().map(|moved| &moved.1).collect();
+    assert!(!fetched.is_empty());
+    assert!(fetched.iter().all(|host| world.hosts[*host].zone != cut));
+}
+
+#[test]
+fn a_pool_grows_little_for_work_that_is_late_anyway() {
+    let mut world = world_with_spare(1, 12);
+    let mut late = spec(vec![step(24, 16_000, 1_000)]);
+    late.steps[0].estimate_ms = 1_000;
+    let id = world.submit_at("a", late, 10_000);
+    world.pass(SECOND / 2);
+    assert!(
+        world.seen.moves.len() <= 3,
+        "a quarter of twelve hosts' worth"
+    );
+    assert!(
+        world.pass_until_over(&id, 20 * SECOND),
+        "and it is done in the end"
+    );
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -239,6 +239,7 @@
                 Host {
                     name: host.clone(),
                     pool: pool.to_owned(),
+                    zone: format!("z{}", self.hosts.len() % 3),
                     state: HostState::Up,
                     capacity: CAPACITY,
                     endpoint: None,
@@ -265,7 +266,7 @@
             born: self.births,
             pool,
             address,
-            zone: "z".to_owned(),
+            zone: self.hosts[host].zone.clone(),
             labels: vec!["kind".to_owned(), format!("rack{}", self.births % 4)],
             capacity: CAPACITY,
             draining: false,
@@ -301,19 +302,25 @@
 
     /// Submits a job and returns its identity.
     pub fn submit(&mut self, queue: &str, spec: Spec) -> String {
+        self.submit_at(queue, spec, 0)
+    }
+
+    /// Submits a job that came `age_ms` ago and returns its identity.
+    pub fn submit_at(&mut self, queue: &str, spec: Spec, age_ms: u64) -> String {
         let id = format!("{:016x}", self.records.len());
         let record = Record {
             queue: queue.to_owned(),
             pool: queue.to_owned(),
             workspace: Some("w".to_owned()),
-            submitted: self.wall(),
+            submitted: Timestamp::from_millis(self.wall().as_millis() - age_ms),
             spec,
         };
         self.revision += 1;
         self.versions.insert(id.clone(), self.revision);
         self.records.insert(id.clone(), record.clone());
+        let wall = self.wall();
         self.scheduler
-            .add_job(self.now, &id, self.revision, record, None);
+            .add_job(self.now, wall, &id, self.revision, record, None);
         id
     }
 
@@ -343,8 +350,9 @@
                 )
             });
             let version = self.versions[id];
+            let wall = self.wall();
             self.scheduler
-                .add_job(self.now, id, version, record.clone(), progress);
+                .add_job(self.now, wall, id, version, record.clone(), progress);
         }
         self.list_hosts();
     }
@@ -404,7 +412,7 @@
         self.ticks += 1;
         if self.ticks.is_multiple_of(10) {
             self.list_hosts();
-            commands.extend(self.scheduler.poll_hosts(self.now));
+            commands.extend(self.scheduler.poll_hosts(self.now, wall));
         }
         for command in commands {
             self.carry_out(command);
--- a/crates/dispatch/src/front/submit.rs
+++ b/crates/dispatch/src/front/submit.rs
@@ -121,6 +121,9 @@
             }
             Err(Failure::Unknown(_)) => {
                 node.metrics.store_write("unknown");
+                if doubtful || is_store_lost(node) {
+                    return unanswered(node);
+                }
                 doubtful = true;
             }
         }
--- a/crates/dispatch/src/lead/hosts.rs
+++ b/crates/dispatch/src/lead/hosts.rs
@@ -96,10 +96,14 @@
             _ = orders.recv_many(&mut batch, MAX_BATCH) => {}
         }
         let now = clock::now();
-        let memory = shared.node.settings.host_order_pause * 2;
+        let memory = shared.node.settings.host_order_pause;
         recent.retain(|_, at| now.saturating_since(*at) < memory);
         recent.extend(batch.iter().map(|order| (order.host().to_owned(), now)));
-        let hosts = recent.keys().cloned().collect();
+        let age = |at: &Instant| now.saturating_since(*at).as_millis();
+        let hosts = recent
+            .iter()
+            .map(|(host, at)| (host.clone(), u64::try_from(age(at)).unwrap_or(0)))
+            .collect();
         let recorded = save::record_orders(&shared, Orders { hosts }).await;
         for order in batch {
             tokio::task::spawn_local(carry_out(Rc::clone(&shared), order, recorded));
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -163,7 +163,7 @@
         let mut commands = scheduler.poll(now, clock::wall(), authority);
         if now >= next_hosts && authority == Authority::Certain {
             next_hosts = now + HOST_TICK;
-            commands.extend(scheduler.poll_hosts(now));
+            commands.extend(scheduler.poll_hosts(now, clock::wall()));
         }
         notes::write(node, scheduler.take_notes());
         for command in commands {
@@ -199,8 +199,11 @@
     };
     let mut scheduler = Scheduler::new(options, shared.mandate.term, now);
     let view = shared.node.view.borrow();
-    let quiet_until = now + settings.host_order_pause;
-    scheduler.keep_hosts_until(view.orders.hosts.clone(), quiet_until);
+    for (host, &age_ms) in &view.orders.hosts {
+        let age = Duration::from_millis(age_ms);
+        let left = settings.host_order_pause.saturating_sub(age);
+        scheduler.keep_host_until(host, now + left);
+    }
     if let Some(configuration) = &view.configuration {
         scheduler.set_configuration((**configuration).clone());
     }
@@ -270,6 +273,7 @@
     let progress = job.progress.as_ref();
     scheduler.add_job(
         now,
+        clock::wall(),
         id,
         record.revision,
         (*record.value).clone(),
--- a/crates/dispatch/src/sync.rs
+++ b/crates/dispatch/src/sync.rs
@@ -17,10 +17,10 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Pause between two watches, which gathers changes; each watch is paid for.
-const FOLLOWER_PAUSE: Duration = Duration::from_millis(60);
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(150);
 
 /// The same at the leader, whose jobs wait for it.
-const LEADER_PAUSE: Duration = Duration::from_millis(8);
+const LEADER_PAUSE: Duration = Duration::from_millis(20);
 
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -40,8 +40,9 @@
 /// The record of orders for hosts, written before each order.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Orders {
-    /// Hosts that the leader gave orders to lately.
-    pub hosts: BTreeSet<String>,
+    /// Hosts that the leader gave orders to lately, with the age of the last order when the
+    /// record was written, in milliseconds.
+    pub hosts: BTreeMap<String, u64>,
 }
 
 /// A value with the store revision of its last change.
