Run jobs through real entry hosts against a stand-in of the users' platform

Change: a stand-in of the store, the endpoints and the hosts' platform by their published protocol, with refused connections, a busy store, unanswered writes and dropped history; 22 cases with entry hosts as processes: killed, frozen and stopped leaders, a store in trouble, endpoints behind a cut, cancellations, withdrawn keys, bad requests, unreadable items. Ruled out: checking inside the daemons; the stand-in itself counts what runs at once.

--- /dev/null
+++ b/crates/rhubarbrilld/tests/jobs.rs
@@ -0,0 +1,264 @@
+//! Jobs through real entry hosts, against a stand-in of the users' platform.
+
+use std::time::Duration;
+
+use rhubarbrill_standin::users::{Trouble, Users};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+mod support;
+
+use support::daemon::Folder;
+use support::jobs::{Entry, id, two_steps, until};
+
+const RUN_TIME: Duration = Duration::from_millis(200);
+
+/// A platform with endpoints, and entry hosts on it.
+struct Deployment {
+    folder: Folder,
+    users: Users,
+    entries: Vec<Entry>,
+}
+
+fn deploy(entries: usize, run_time: Duration) -> Deployment {
+    let folder = Folder::new();
+    let mut users = Users::start();
+    for _ in 0..3 {
+        users.add_endpoint("a", run_time);
+    }
+    users.configure(1, "a", &["k"]);
+    let start = |number| Entry::start(&folder, &users, &format!("entry-{number}"));
+    let entries = (0..entries).map(start).collect();
+    Deployment {
+        folder,
+        users,
+        entries,
+    }
+}
+
+impl Deployment {
+    fn submit(&self, number: usize) {
+        let entry = &self.entries[number % self.entries.len()];
+        let answer = entry.call("POST", &id(number), "k", &two_steps(2));
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    fn leader(&self) -> usize {
+        until("there is a leader", || self.users.leader().is_some());
+        let name = self.users.leader().unwrap();
+        self.entries
+            .iter()
+            .position(|entry| entry.name == name)
+            .unwrap()
+    }
+
+    /// Waits until every job is shown as completed by every entry host.
+    fn until_completed(&self, jobs: usize) {
+        for number in 0..jobs {
+            for entry in &self.entries {
+                until(&format!("job {number} completed"), || {
+                    entry.state(&id(number)) == "completed"
+                });
+            }
+        }
+        assert_eq!(self.users.most_at_once(), 1, "a task ran twice at once");
+    }
+}
+
+#[test]
+fn jobs_are_completed_once() {
+    let deployment = deploy(2, RUN_TIME);
+    for number in 0..10 {
+        deployment.submit(number);
+    }
+    // The same job again is still one job.
+    deployment.submit(3);
+    deployment.until_completed(10);
+    let ran = deployment.users.ran();
+    assert_eq!(ran.len(), 40, "each task ran once");
+    assert!(ran.iter().all(|ran| ran.run == 1));
+    let metrics = deployment.entries[0].read_metrics();
+    assert!(
+        metrics.contains("rhubarbrill_job_request_latency"),
+        "{metrics}"
+    );
+}
+
+#[test]
+fn a_killed_leader_is_followed() {
+    let mut deployment = deploy(3, Duration::from_millis(1_500));
+    for number in 0..6 {
+        deployment.submit(number);
+    }
+    until("tasks run", || deployment.users.ran().len() >= 12);
+    let leader = deployment.leader();
+    deployment.entries[leader].kill();
+    deployment.entries.remove(leader);
+    deployment.until_completed(6);
+    assert_eq!(deployment.users.ran().len(), 24, "what ran went on");
+}
+
+#[test]
+fn a_frozen_leader_does_no_harm_when_it_wakes() {
+    let deployment = deploy(2, Duration::from_millis(1_000));
+    deployment.submit(0);
+    let leader = deployment.leader();
+    deployment.entries[leader].signal("STOP");
+    let name = deployment.entries[leader].name.clone();
+    until("another leads", || {
+        deployment.users.leader().is_some_and(|now| now != name)
+    });
+    let other = &deployment.entries[1 - leader];
+    assert_eq!(other.call("POST", &id(1), "k", &two_steps(2)).status, 200);
+    deployment.entries[leader].signal("CONT");
+    deployment.until_completed(2);
+    assert_eq!(deployment.users.ran().len(), 8);
+}
+
+#[test]
+fn a_stopped_leader_hands_over_at_once() {
+    let mut deployment = deploy(2, RUN_TIME);
+    let leader = deployment.leader();
+    deployment.entries[leader].signal("TERM");
+    let name = deployment.entries[leader].name.clone();
+    until("another leads", || {
+        deployment.users.leader().is_some_and(|now| now != name)
+    });
+    assert!(deployment.entries[leader].wait().success());
+    deployment.entries.remove(leader);
+    deployment.submit(0);
+    deployment.until_completed(1);
+}
+
+#[rstest]
+#[case::turned_away(Trouble::Busy, &[503])]
+#[case::answers_lost(Trouble::WritesUnanswered, &[504])]
+fn a_store_in_trouble_loses_nothing(#[case] trouble: Trouble, #[case] statuses: &[u16]) {
+    let deployment = deploy(1, RUN_TIME);
+    deployment.submit(0);
+    deployment.until_completed(1);
+    deployment.users.set_trouble(trouble);
+    let answer = deployment.entries[0].call("POST", &id(1), "k", &two_steps(2));
+    assert!(statuses.contains(&answer.status), "{answer:?}");
+    assert_eq!(answer.retry_after.is_some(), answer.status == 503);
+    deployment.users.set_trouble(Trouble::None);
+    deployment.submit(1);
+    deployment.until_completed(2);
+    let refused = answer.status == 503;
+    assert!(
+        refused || deployment.users.ran().len() == 8,
+        "accepted once"
+    );
+}
+
+#[test]
+fn dropped_history_is_read_again() {
+    let deployment = deploy(2, RUN_TIME);
+    for number in 0..4 {
+        deployment.submit(number);
+        deployment.users.compact();
+    }
+    deployment.until_completed(4);
+}
+
+#[test]
+fn an_endpoint_that_is_cut_off_loses_its_tasks_after_its_lease() {
+    let deployment = deploy(1, Duration::from_millis(300));
+    deployment.submit(0);
+    deployment.until_completed(1);
+    for endpoint in ["i-0", "i-1"] {
+        deployment.users.cut(endpoint, true);
+    }
+    for number in 1..4 {
+        deployment.submit(number);
+    }
+    deployment.until_completed(4);
+    deployment.users.cut("i-0", false);
+}
+
+#[test]
+fn a_cancelled_job_is_shown_as_cancelled_and_stops() {
+    let deployment = deploy(2, Duration::from_secs(60));
+    deployment.submit(0);
+    until("tasks run", || deployment.users.ran().len() >= 2);
+    let answer = deployment.entries[1].call("DELETE", &id(0), "k", &Value::Null);
+    assert_eq!(answer.status, 200);
+    for entry in &deployment.entries {
+        until("it is shown", || entry.state(&id(0)) == "cancelled");
+    }
+}
+
+/// A request and the status that answers it.
+struct Request {
+    method: &'static str,
+    id: &'static str,
+    key: &'static str,
+    body: Value,
+    status: u16,
+}
+
+#[rstest]
+#[case::unknown_key(Request { method: "POST", id: "00000000000000aa", key: "x", body: two_steps(1), status: 401 })]
+#[case::no_identity(Request { method: "POST", id: "zz", key: "k", body: two_steps(1), status: 404 })]
+#[case::no_steps(Request { method: "POST", id: "00000000000000aa", key: "k", body: json!({"spec": "s", "steps": []}), status: 400 })]
+#[case::no_object(Request { method: "POST", id: "00000000000000aa", key: "k", body: json!(7), status: 400 })]
+#[case::waits_for_itself(Request { method: "POST", id: "00000000000000aa", key: "k", body: json!({"spec": "s", "steps": [{"count": 1, "after": [0]}]}), status: 400 })]
+#[case::payload_too_long(Request { method: "POST", id: "00000000000000aa", key: "k", body: json!({"spec": "x".repeat(4_001), "steps": [{"count": 1}]}), status: 400 })]
+#[case::body_too_large(Request { method: "POST", id: "00000000000000aa", key: "k", body: json!({"spec": "x".repeat(5_000), "steps": [{"count": 1}]}), status: 413 })]
+#[case::state_of_unknown_job(Request { method: "GET", id: "00000000000000ab", key: "k", body: Value::Null, status: 410 })]
+#[case::cancel_of_unknown_job(Request { method: "DELETE", id: "00000000000000ab", key: "k", body: Value::Null, status: 410 })]
+#[case::pending(Request { method: "GET", id: "", key: "k", body: Value::Null, status: 200 })]
+#[case::unknown_method(Request { method: "PUT", id: "00000000000000aa", key: "k", body: two_steps(1), status: 405 })]
+fn bad_requests_get_a_clear_answer(#[case] request: Request) {
+    let deployment = deploy(1, RUN_TIME);
+    let Request {
+        method,
+        id: job,
+        key,
+        body,
+        status,
+    } = request;
+    let answer = deployment.entries[0].call(method, job, key, &body);
+    assert_eq!(answer.status, status, "{answer:?}");
+    if status >= 400 {
+        assert!(answer.body["error"].is_string(), "{answer:?}");
+    }
+    deployment.submit(0);
+    deployment.until_completed(1);
+}
+
+#[test]
+fn items_that_cannot_be_read_do_no_harm() {
+    let deployment = deploy(1, RUN_TIME);
+    deployment
+        .users
+        .put_bytes("servers/i-x", b"\xff\x00 not json");
+    deployment
+        .users
+        .put("servers/i-y", &json!({"service": 7, "state": "odd"}));
+    deployment
+        .users
+        .put("op/wave/1", &json!({"machines": "none"}));
+    deployment.submit(0);
+    deployment.until_completed(1);
+    let log =
+        std::fs::read_to_string(deployment.folder.path().join("entry-0.log")).unwrap();
+    assert_eq!(log.matches("ItemUnreadable").count(), 3, "{log}");
+}
+
+#[test]
+fn a_withdrawn_key_stops_working() {
+    let deployment = deploy(2, RUN_TIME);
+    deployment.users.configure(5, "a", &["other"]);
+    // A version that is older than the one in force changes nothing.
+    deployment.users.configure(4, "a", &["k"]);
+    for entry in &deployment.entries {
+        until("the key is refused", || {
+            entry.call("POST", &id(9), "k", &two_steps(1)).status == 401
+        });
+        assert_eq!(
+            entry.call("POST", &id(8), "other", &two_steps(1)).status,
+            200
+        );
+    }
+}
--- a/crates/rhubarbrilld/tests/support/mod.rs
+++ b/crates/rhubarbrilld/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod daemon;
 pub mod fleet;
 pub mod history;
+pub mod jobs;
 pub mod links;
 pub mod load;
 pub mod watch;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,5 +10,7 @@
 mod server;
 mod tally;
 
+pub mod users;
+
 pub use blackhole::Blackhole;
 pub use tally::{Tally, Usage};
--- /dev/null
+++ b/crates/standin/src/users.rs
@@ -0,0 +1,154 @@
+//! A stand-in of the users' platform: store, endpoints that take orders, and hosts.
+//!
+//! All of it shares one state, so that a test can look at what ran where.
+
+mod endpoint;
+mod front;
+mod hosts;
+mod state;
+mod store;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::server::Server;
+use state::State;
+
+pub use state::{Ran, Trouble};
+
+/// The users' platform; dropping it stops it.
+#[derive(Debug)]
+pub struct Users {
+    shared: Shared,
+    store: Server,
+    hosts: Server,
+    endpoints: Vec<Server>,
+}
+
+/// The state behind every server.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Shared(Arc<Mutex<State>>);
+
+impl Shared {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Users {
+    /// Starts a platform without endpoints.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no port of 127.0.0.1 is free.
+    pub fn start() -> Self {
+        let shared = Shared::default();
+        let store = front::start(shared.clone(), store::answer);
+        let hosts = front::start(shared.clone(), hosts::answer);
+        Self {
+            shared,
+            store,
+            hosts,
+            endpoints: Vec::new(),
+        }
+    }
+
+    /// Returns the store's address.
+    pub fn store(&self) -> SocketAddr {
+        self.store.address()
+    }
+
+    /// Returns the address of the hosts' platform.
+    pub fn hosts(&self) -> SocketAddr {
+        self.hosts.address()
+    }
+
+    /// Starts an endpoint whose runs take `run_time` each, registers it and returns its
+    /// identity.
+    pub fn add_endpoint(&mut self, pool: &str, run_time: Duration) -> String {
+        let id = format!("i-{}", self.endpoints.len());
+        let served = id.clone();
+        let server = front::start(self.shared.clone(), move |shared, call| {
+            let served = served.clone();
+            async move { endpoint::answer(shared, &served, call).await }
+        });
+        let address = server.address();
+        self.endpoints.push(server);
+        let mut state = self.shared.lock();
+        state.add_endpoint(&id, pool, address, run_time);
+        drop(state);
+        id
+    }
+
+    /// Writes a configuration with one queue, `/q/` at host `h`, on one pool, for key `k`.
+    pub fn configure(&self, version: u64, pool: &str, keys: &[&str]) {
+        let value = json!({
+            "version": version,
+            "routes": [{
+                "name": "q", "host": "h", "prefix": "/q/", "service": pool,
+                "attempts": 2, "stretch": 1.6, "target-latency-ms": 600, "public": false,
+            }],
+            "services": [{"name": pool, "rejects-overload": true, "standby": false}],
+            "limits": {"max-body-bytes": 4096},
+            "tenants": [{"name": "w", "api-keys": keys, "weight": 1,
+                "max-count": {"cpu": 0, "mem-mb": 0, "gpu": 0}}],
+        });
+        self.put("op/config", &value);
+    }
+
+    /// Writes a value as the operator does.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes bytes as another writer may.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.shared.lock().put(key, value, 0);
+    }
+
+    /// Sets how the store behaves.
+    pub fn set_trouble(&self, trouble: Trouble) {
+        self.shared.lock().trouble = trouble;
+    }
+
+    /// Drops the store's history, so that watches must start anew.
+    pub fn compact(&self) {
+        self.shared.lock().compact();
+    }
+
+    /// Refuses connections to an endpoint, or accepts them again.
+    pub fn cut(&self, endpoint: &str, cut: bool) {
+        let place = endpoint
+            .strip_prefix("i-")
+            .and_then(|place| place.parse::<usize>().ok());
+        if let Some(server) = place.and_then(|place| self.endpoints.get(place)) {
+            server.set_refusing(cut);
+        }
+    }
+
+    /// Returns every start that an endpoint carried out, in order.
+    pub fn ran(&self) -> Vec<Ran> {
+        self.shared.lock().ran.clone()
+    }
+
+    /// Returns the most runs that one task had at once.
+    pub fn most_at_once(&self) -> usize {
+        self.shared.lock().most_at_once
+    }
+
+    /// Returns the name in the leader's record, if there is one.
+    pub fn leader(&self) -> Option<String> {
+        let state = self.shared.lock();
+        let value = state.value("rhubarbrill/leader")?;
+        let record: Value = serde_json::from_slice(&value).ok()?;
+        Some(record["name"].as_str()?.to_owned())
+    }
+
+    /// Returns a value of the store.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.shared.lock().value(key)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/users/state.rs
@@ -0,0 +1,253 @@
+//! What the platform holds.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+
+/// How the store behaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Trouble {
+    /// As it should.
+    #[default]
+    None,
+    /// Every call is turned away.
+    Busy,
+    /// Writes are done and not answered.
+    WritesUnanswered,
+}
+
+/// A start that an endpoint carried out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ran {
+    /// Name of the task.
+    pub task: String,
+    /// Number of the run.
+    pub run: u64,
+    /// Identity of the endpoint.
+    pub endpoint: String,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Item {
+    pub(crate) value: Vec<u8>,
+    pub(crate) revision: u64,
+    pub(crate) created: u64,
+    pub(crate) lease: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Live {
+    pub(crate) task: String,
+    pub(crate) run: u64,
+    pub(crate) until: Instant,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct End {
+    pub(crate) sequence: u64,
+    pub(crate) task: String,
+    pub(crate) run: u64,
+    pub(crate) how: &'static str,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) pool: String,
+    pub(crate) run_time: Duration,
+    pub(crate) live: Vec<Live>,
+    pub(crate) ended: Vec<End>,
+    pub(crate) sequence: u64,
+    pub(crate) fence: u64,
+    pub(crate) lease_end_ms: u64,
+    pub(crate) stopped: BTreeMap<String, u64>,
+}
+
+/// Everything that the platform holds.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) began: Instant,
+    pub(crate) revision: u64,
+    pub(crate) items: BTreeMap<String, Item>,
+    /// Changes since the history was dropped: revision and key.
+    pub(crate) history: Vec<(u64, String, Option<Item>)>,
+    pub(crate) oldest: u64,
+    pub(crate) leases: BTreeMap<u64, (Duration, Instant)>,
+    pub(crate) trouble: Trouble,
+    pub(crate) endpoints: BTreeMap<String, Endpoint>,
+    pub(crate) ran: Vec<Ran>,
+    pub(crate) most_at_once: usize,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            began: Instant::now(),
+            revision: 1,
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            oldest: 1,
+            leases: BTreeMap::new(),
+            trouble: Trouble::None,
+            endpoints: BTreeMap::new(),
+            ran: Vec::new(),
+            most_at_once: 0,
+        }
+    }
+}
+
+impl State {
+    /// Returns the reading of the clock that every endpoint shares, in milliseconds.
+    pub(crate) fn clock_ms(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Writes a value at a revision of its own.
+    pub(crate) fn put(&mut self, key: &str, value: &[u8], lease: u64) {
+        self.revision += 1;
+        self.write(key, value, lease);
+    }
+
+    /// Writes a value at the present revision, which a transaction shares.
+    pub(crate) fn write(&mut self, key: &str, value: &[u8], lease: u64) {
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
+        let item = Item {
+            value: value.to_vec(),
+            revision: self.revision,
+            created,
+            lease,
+        };
+        self.history
+            .push((self.revision, key.to_owned(), Some(item.clone())));
+        self.items.insert(key.to_owned(), item);
+    }
+
+    /// Removes a key.
+    pub(crate) fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.history.push((self.revision, key.to_owned(), None));
+        }
+    }
+
+    pub(crate) fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.items.get(key).map(|item| item.value.clone())
+    }
+
+    /// Ends the leases that ran out, with their keys.
+    pub(crate) fn expire(&mut self) {
+        let now = Instant::now();
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, until))| *until < now)
+            .map(|(&lease, _)| lease)
+            .collect();
+        for lease in over {
+            self.end_lease(lease);
+        }
+    }
+
+    pub(crate) fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    pub(crate) fn compact(&mut self) {
+        self.history.clear();
+        self.revision += 1;
+        self.oldest = self.revision;
+    }
+
+    pub(crate) fn add_endpoint(
+        &mut self,
+        id: &str,
+        pool: &str,
+        address: SocketAddr,
+        run_time: Duration,
+    ) {
+        let entry = json!({
+            "service": pool, "address": address.to_string(), "zone": "z", "version": "v1",
+            "slots": 8, "state": "ready", "cold-remaining-ms": 0,
+            "capacity": {"cpu": 32_000, "mem-mb": 131_072, "gpu": 0},
+            "labels": ["a", "r1-1"], "clock-ms": self.clock_ms(), "seq": 1, "born": 1_000,
+        });
+        self.put(&format!("servers/{id}"), entry.to_string().as_bytes(), 0);
+        self.endpoints.insert(
+            id.to_owned(),
+            Endpoint {
+                pool: pool.to_owned(),
+                run_time,
+                live: Vec::new(),
+                ended: Vec::new(),
+                sequence: 0,
+                fence: 0,
+                lease_end_ms: 0,
+                stopped: BTreeMap::new(),
+            },
+        );
+    }
+
+    /// Ends what is done or whose lease is over, and notes what runs at once.
+    pub(crate) fn advance(&mut self) {
+        let now = Instant::now();
+        let clock_ms = self.clock_ms();
+        for endpoint in self.endpoints.values_mut() {
+            let lapsed = clock_ms > endpoint.lease_end_ms;
+            let live = std::mem::take(&mut endpoint.live);
+            for live in live {
+                if live.until <= now {
+                    endpoint.end(&live, "done");
+                } else if lapsed {
+                    endpoint.end(&live, "lapsed");
+                } else {
+                    endpoint.live.push(live);
+                }
+            }
+        }
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for endpoint in self.endpoints.values() {
+            for live in &endpoint.live {
+                *counts.entry(&live.task).or_default() += 1;
+            }
+        }
+        let most = counts.values().copied().max().unwrap_or(0);
+        self.most_at_once = self.most_at_once.max(most);
+    }
+
+    /// Returns an item as the store shows it.
+    pub(crate) fn shown(key: &str, item: &Item) -> Value {
+        json!({
+            "key": key, "value": STANDARD.encode(&item.value),
+            "revision": item.revision, "created": item.created, "lease": item.lease,
+        })
+    }
+}
+
+impl Endpoint {
+    pub(crate) fn end(&mut self, live: &Live, how: &'static str) {
+        self.sequence += 1;
+        let highest = self.stopped.entry(live.task.clone()).or_default();
+        *highest = (*highest).max(live.run);
+        self.ended.push(End {
+            sequence: self.sequence,
+            task: live.task.clone(),
+            run: live.run,
+            how,
+        });
+    }
+}
