--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -153,6 +153,8 @@
     pub(super) generation: u64,
     pub(super) saved_generation: u64,
     pub(super) changed_at: Instant,
+    /// Whether a write of it is on its way.
+    pub(super) saving: bool,
     /// Whether starts wait for the store.
     pub(super) has_planned: bool,
     /// Store revision of the saved progress; 0 for none.
@@ -179,6 +181,7 @@
             generation: 0,
             saved_generation: 0,
             changed_at: Instant::ZERO,
+            saving: false,
             has_planned: false,
             progress_version: 0,
         };
--- a/crates/core/src/job/scheduler/answer.rs
+++ b/crates/core/src/job/scheduler/answer.rs
@@ -398,7 +398,7 @@
         match run.phase {
             // The endpoint has seen this leader's token, so the start can't come later.
             Phase::Inherited => {
-                self.release(now, key, "not started by an earlier leader")
+                self.release(now, key, "not started by an earlier leader");
             }
             // It wasn't there when asked, and must not come later.
             Phase::Doubtful if sent > run.sent_at => {
--- a/crates/core/src/job/scheduler/save.rs
+++ b/crates/core/src/job/scheduler/save.rs
@@ -14,6 +14,13 @@
 /// condition and a value for each and one condition for the leadership.
 const MAX_JOBS: usize = 15;
 
+/// Most writes on their way at once, so that a slow store doesn't hold up starts.
+const MAX_WRITES: usize = 4;
+
+/// Time after which the next write no longer waits for the one before: until then, changes
+/// gather, since each write is paid for.
+const SLOW_WRITE_TIME: Duration = Duration::from_millis(30);
+
 /// Progress of one job to be written.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Save {
@@ -42,21 +49,34 @@
 
 impl Scheduler {
     pub(super) fn save(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        if self.saves_in_flight {
+        let waits = self.saves_in_flight > 0
+            && now.saturating_since(self.last_save_at) < SLOW_WRITE_TIME;
+        if waits {
             return;
         }
         let mut due: Vec<JobKey> = Vec::new();
         for (key, job) in &self.jobs {
             let gathered = now.saturating_since(job.changed_at) >= GATHER_TIME;
-            if !job.is_saved() && (gathered || job.has_planned || job.state.is_final()) {
+            let urgent = job.has_planned || job.state.is_final();
+            if !job.is_saved() && !job.saving && (gathered || urgent) {
                 due.push(key);
             }
         }
-        if due.is_empty() {
-            return;
-        }
         due.sort_by_key(|&key| self.jobs[key].changed_at);
-        due.truncate(MAX_JOBS);
+        for batch in due.chunks(MAX_JOBS) {
+            if self.saves_in_flight >= MAX_WRITES {
+                return;
+            }
+            self.saves_in_flight += 1;
+            self.last_save_at = now;
+            commands.push(Command::Save(self.write_out(batch)));
+        }
+    }
+
+    fn write_out(&mut self, batch: &[JobKey]) -> Vec<Save> {
+        for &key in batch {
+            self.jobs[key].saving = true;
+        }
         let save = |key: JobKey| {
             let job = &self.jobs[key];
             Save {
@@ -67,8 +87,7 @@
                 version: job.progress_version,
             }
         };
-        commands.push(Command::Save(due.into_iter().map(save).collect()));
-        self.saves_in_flight = true;
+        batch.iter().copied().map(save).collect()
     }
 
     fn member_of(&self, run: RunKey) -> Option<Member> {
@@ -83,7 +102,12 @@
 
     /// Takes how a write of progress ended.
     pub fn saved(&mut self, now: Instant, saves: &[Save], ending: &Ending) {
-        self.saves_in_flight = false;
+        self.saves_in_flight -= 1;
+        for save in saves {
+            if let Some(job) = self.jobs.get_mut(save.job) {
+                job.saving = false;
+            }
+        }
         match ending {
             Ending::Unknown => {}
             Ending::Conflict(versions) => {
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -321,7 +321,7 @@
                 save::record_wave(shared, order.wave, done, false);
             }
             HostOrder::Refused(_) => {
-                scheduler.maintenance_refused(&order.host, order.wave)
+                scheduler.maintenance_refused(&order.host, order.wave);
             }
             HostOrder::Unknown => {}
         },
