--- a/crates/rhubarbrilld/tests/jobs.rs
+++ b/crates/rhubarbrilld/tests/jobs.rs
@@ -151,6 +151,30 @@
     );
 }
 
+#[test]
+fn a_slow_store_slows_jobs_and_loses_no_leader() {
+    let deployment = deploy(1, RUN_TIME);
+    deployment.submit(0);
+    deployment.until_completed(1);
+    let term = deployment.users.value("rhubarbrill/term");
+    deployment.users.set_trouble(Trouble::Slow(300));
+    let entry = &deployment.entries[0];
+    std::thread::scope(|scope| {
+        for number in 1..25 {
+            scope.spawn(move || {
+                let answer = entry.call("POST", &id(number), "k", &two_steps(2));
+                assert_eq!(answer.status, 200, "{answer:?}");
+            });
+        }
+    });
+    deployment.until_completed(25);
+    assert_eq!(
+        deployment.users.value("rhubarbrill/term"),
+        term,
+        "the same leader"
+    );
+}
+
 #[test]
 fn dropped_history_is_read_again() {
     let deployment = deploy(2, RUN_TIME);
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -18,6 +18,8 @@
     Busy,
     /// Writes are done and not answered.
     WritesUnanswered,
+    /// Every answer takes this long, in milliseconds.
+    Slow(u64),
 }
 
 /// A start that an endpoint carried out.
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -22,6 +22,9 @@
     if trouble == Trouble::Busy {
         return Some((StatusCode::SERVICE_UNAVAILABLE, Value::Null));
     }
+    if let Trouble::Slow(after_ms) = trouble {
+        tokio::time::sleep(Duration::from_millis(after_ms)).await;
+    }
     shared.lock().expire();
     if call.path == "/kv-watch" {
         return watch(&shared, &call).await;
