--- a/crates/dispatch/src/front/request.rs
+++ b/crates/dispatch/src/front/request.rs
@@ -246,9 +246,12 @@
             // Nothing was decided.
             return;
         }
+        let age = self.node.store_age(clock::now()).unwrap_or(Duration::MAX);
         let view = self.node.view.borrow();
         let version = view.configuration.as_ref().map_or(0, |held| held.version);
         let fields = o!(
+            "job" => call.map_or_else(String::new, |call| call.id.clone()),
+            "store_age_ms" => u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             "method" => head.method.to_string(),
             "path" => head.uri.path().to_owned(),
             "queue" => labels.queue.to_owned(),
