Move stragglers off endpoints that stall, by their pace

Cause: an endpoint can report good health and stall what it runs; its tasks waited until it recovered. Change: a run that is overdue, and would at its pace take longer than a new start, is stopped once, and its task avoids that endpoint. Test: a_task_on_an_endpoint_that_stands_still_moves_on (fails without; a task of twice its estimate stays where it is).

--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -37,6 +37,8 @@
     pub(super) last_run: u64,
     /// Endpoints on which it failed.
     pub(super) avoid: Vec<EndpointKey>,
+    /// Whether a run of it was stopped for being slow.
+    pub(super) relocated: bool,
     /// No start before then.
     pub(super) not_before: Instant,
 }
--- a/crates/core/src/job/run.rs
+++ b/crates/core/src/job/run.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 use super::live::{JobKey, TaskRef};
 use super::{EndpointKey, Resource};
@@ -155,6 +156,8 @@
     pub(super) sent_at: Instant,
     /// Work done, in percent, as last reported.
     pub(super) percent: u32,
+    /// When that was reported.
+    pub(super) percent_at: Instant,
     /// Rough load or tail latency, as last reported.
     pub(super) gauge: u64,
     /// Share of full speed that it is let work at, in percent.
@@ -162,6 +165,12 @@
 }
 
 impl Run {
+    /// Returns how long the run still takes at its pace so far.
+    pub(super) fn remaining(&self) -> Duration {
+        let done = self.percent.clamp(1, 100);
+        self.percent_at.saturating_since(self.sent_at) * (100 - done) / done
+    }
+
     pub(super) fn job(&self) -> Option<JobKey> {
         self.task.map(|task| task.job)
     }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -28,6 +28,7 @@
 mod pace;
 mod place;
 mod save;
+mod straggle;
 mod wave;
 
 pub use answer::{EndRow, Held, Rejection, Reply, Row, Settled};
@@ -188,6 +189,7 @@
     waves: wave::Waves,
     arrivals: capacity::Arrivals,
     paces: pace::Paces,
+    ratios: straggle::Ratios,
     notes: Vec<Note>,
 }
 
@@ -214,6 +216,7 @@
             waves: wave::Waves::default(),
             arrivals: capacity::Arrivals::default(),
             paces: pace::Paces::default(),
+            ratios: straggle::Ratios::default(),
             notes: Vec::new(),
         }
     }
@@ -247,6 +250,7 @@
         self.release_lapsed(now);
         self.open_occurrences(now, wall);
         if authority == Authority::Certain {
+            self.stop_stragglers(now);
             self.place(now, wall);
             self.order_starts(now, &mut commands);
             self.order_stops(now, &mut commands);
--- a/crates/core/src/job/scheduler/answer.rs
+++ b/crates/core/src/job/scheduler/answer.rs
@@ -314,6 +314,9 @@
 
     fn take_end(&mut self, now: Instant, key: EndpointKey, row: &EndRow) {
         if let Some(run) = self.find_run(key, &row.name, row.number) {
+            if row.how == End::Done {
+                self.learn_run_time(now, run);
+            }
             self.remove_run(now, run);
         }
         let Some(task) = self.find_task(&row.name) else {
@@ -375,6 +378,7 @@
     fn note_running(&mut self, now: Instant, key: RunKey, row: &Row) {
         let run = &mut self.runs[key];
         run.percent = row.percent;
+        run.percent_at = now;
         run.gauge = row.gauge;
         if matches!(
             run.phase,
@@ -430,6 +434,7 @@
             phase: Phase::Running(now),
             sent_at: now,
             percent: row.percent,
+            percent_at: now,
             gauge: row.gauge,
             pace: 100,
         });
--- a/crates/core/src/job/scheduler/inherit.rs
+++ b/crates/core/src/job/scheduler/inherit.rs
@@ -43,6 +43,7 @@
             phase: Phase::Inherited,
             sent_at: now,
             percent: 0,
+            percent_at: now,
             gauge: 0,
             pace: 100,
         });
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -323,6 +323,7 @@
             phase: Phase::Planned(generation),
             sent_at: now,
             percent: 0,
+            percent_at: now,
             gauge: 0,
             pace: 100,
         });
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -388,3 +388,23 @@
         "and it is done in the end"
     );
 }
+
+#[test]
+fn a_task_on_an_endpoint_that_stands_still_moves_on() {
+    let mut world = world(3);
+    world.submit("a", spec(vec![step(1, 1_000, 1_000)]));
+    world.pass(SECOND / 2);
+    let place = world.seen.starts[0].3.clone();
+    world.endpoints.get_mut(&place).expect("it exists").slowness = 60;
+    let id = world.submit("a", spec(vec![step(2, 1_000, 1_000)]));
+    assert!(world.pass_until_over(&id, 5 * SECOND), "not after a minute");
+    assert_eq!(world.state(&id), State::Completed);
+    // Twice as long as estimated is no reason to start again.
+    for endpoint in world.endpoints.values_mut() {
+        endpoint.slowness = 2;
+    }
+    let before = world.seen.starts.len();
+    let slow = world.submit("a", spec(vec![step(4, 1_000, 1_000)]));
+    assert!(world.pass_until_over(&slow, 4 * SECOND));
+    assert_eq!(world.seen.starts.len(), before + 4);
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -52,10 +52,23 @@
 struct Live {
     name: Name,
     number: u64,
+    started_at: Instant,
     ends_at: Option<Instant>,
     reserved: Resource,
 }
 
+impl Live {
+    /// Returns the part of the work that is done; tasks that last are at work at once.
+    fn percent(&self, now: Instant) -> u32 {
+        let Some(ends_at) = self.ends_at else {
+            return 100;
+        };
+        let whole = ends_at.saturating_since(self.started_at).as_micros().max(1);
+        let done = now.saturating_since(self.started_at).as_micros();
+        u32::try_from(done * 100 / whole).unwrap_or(100).min(99)
+    }
+}
+
 /// An endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -71,6 +84,8 @@
     late: Vec<(Instant, Start)>,
     /// Whether every run fails at its end.
     pub fails: bool,
+    /// How many times longer than estimated runs take.
+    pub slowness: u32,
 }
 
 /// What a test looks at.
@@ -290,6 +305,7 @@
                 stopped: BTreeMap::new(),
                 late: Vec::new(),
                 fails: false,
+                slowness: 1,
             },
         );
     }
@@ -605,10 +621,11 @@
             !self.done.contains(&task),
             "{task} starts again after it was done"
         );
-        let span = Duration::from_millis(step.estimate_ms);
+        let span = Duration::from_millis(step.estimate_ms) * endpoint.slowness;
         endpoint.live.push(Live {
             name: order.name.clone(),
             number: order.number,
+            started_at: now,
             ends_at: (!step.long_running).then(|| now + span),
             reserved: step.reserved(),
         });
@@ -667,11 +684,12 @@
         if endpoint.link == Link::AnswersLost {
             return Held::Not(Settled::Unknown);
         }
+        let now = self.now;
         let row = |live: &Live| Row {
             name: live.name.clone(),
             number: live.number,
             checkpoint: String::new(),
-            percent: 100,
+            percent: live.percent(now),
             gauge: 0,
         };
         Held::Reported(Reply {
