--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -1,6 +1,7 @@
 //! Jobs under way, with the state of each task.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::configuration::Queue;
 use super::record::{self, Member, Progress};
@@ -137,8 +138,8 @@
 pub(super) struct Terms {
     pub(super) priority: u32,
     pub(super) attempts: u32,
-    /// When the job is late, by the wall clock.
-    pub(super) deadline: Timestamp,
+    /// When the job is late.
+    pub(super) deadline: Instant,
 }
 
 /// A job under way.
@@ -146,6 +147,8 @@
 pub(super) struct Job {
     pub(super) id: String,
     pub(super) record: Record,
+    /// When it came, by the steady clock.
+    pub(super) came: Instant,
     pub(super) terms: Terms,
     pub(super) state: State,
     pub(super) first_open: u32,
@@ -169,12 +172,14 @@
         record: Record,
         queue: Option<&Queue>,
         progress: Option<Progress>,
+        came: Instant,
     ) -> Self {
-        let terms = Terms::new(&record, queue);
+        let terms = Terms::new(&record, queue, came);
         let progress = progress.unwrap_or_default();
         let mut job = Self {
             id,
             record,
+            came,
             terms,
             state: progress.state,
             first_open: progress.first_open,
@@ -306,7 +311,7 @@
 }
 
 impl Terms {
-    pub(super) fn new(record: &Record, queue: Option<&Queue>) -> Self {
+    pub(super) fn new(record: &Record, queue: Option<&Queue>, came: Instant) -> Self {
         let chain_ms = record.spec.critical_path_ms();
         let stretch = queue.map_or(1.0, |queue| queue.stretch);
         let slack = queue.map_or(0, |queue| queue.target_latency.as_millis());
@@ -321,7 +326,7 @@
         Self {
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
             attempts: queue.map_or(1, |queue| queue.attempts).max(1),
-            deadline: Timestamp::from_millis(record.submitted.as_millis() + allowed),
+            deadline: came + Duration::from_millis(allowed),
         }
     }
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -251,7 +251,7 @@
         self.open_occurrences(now, wall);
         if authority == Authority::Certain {
             self.stop_stragglers(now);
-            self.place(now, wall);
+            self.place(now);
             self.order_starts(now, &mut commands);
             self.order_stops(now, &mut commands);
             self.adjust_paces(now, &mut commands);
@@ -262,14 +262,14 @@
     }
 
     /// Decides on hosts: which to maintain now, and which to move to another pool.
-    pub fn poll_hosts(&mut self, now: Instant, wall: Timestamp) -> Vec<Command> {
+    pub fn poll_hosts(&mut self, now: Instant) -> Vec<Command> {
         let mut commands = Vec::new();
         if self.deposed {
             return commands;
         }
         self.mark_emptying();
         self.schedule_waves(now, &mut commands);
-        self.resize_pools(now, wall, &mut commands);
+        self.resize_pools(now, &mut commands);
         commands
     }
 }
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -10,7 +10,7 @@
 use super::{Command, Note, Scheduler, place};
 use crate::job::endpoint::Contact;
 use crate::job::{EndpointKey, Record, Resource};
-use crate::time::{Instant, Timestamp};
+use crate::time::Instant;
 
 /// Time over which arrivals are counted.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_000);
@@ -191,18 +191,13 @@
         self.hosts.ordered.remove(host);
     }
 
-    pub(super) fn resize_pools(
-        &mut self,
-        now: Instant,
-        wall: Timestamp,
-        commands: &mut Vec<Command>,
-    ) {
-        let mut balances = self.balances(now, wall);
+    pub(super) fn resize_pools(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        let mut balances = self.balances(now);
         self.grow(now, &mut balances, commands);
         self.shrink(now, &mut balances, commands);
     }
 
-    fn balances(&mut self, now: Instant, wall: Timestamp) -> BTreeMap<String, Balance> {
+    fn balances(&mut self, now: Instant) -> BTreeMap<String, Balance> {
         let mut balances: BTreeMap<String, Balance> = BTreeMap::new();
         for pool in &self.configuration.pools {
             if !pool.standby {
@@ -211,7 +206,7 @@
                 balances.insert(pool.name.clone(), Balance { needed, held: 0 });
             }
         }
-        let outstanding = self.outstanding(wall);
+        let outstanding = self.outstanding(now);
         for (pool, cpu) in outstanding {
             if let Some(balance) = balances.get_mut(&pool) {
                 balance.needed = balance.needed.max(cpu.transient * 100 / FILL_PERCENT);
@@ -269,12 +264,12 @@
     }
 
     /// Returns the processor that jobs under way take now and with their next tasks.
-    fn outstanding(&self, wall: Timestamp) -> BTreeMap<String, Outstanding> {
+    fn outstanding(&self, now: Instant) -> BTreeMap<String, Outstanding> {
         let mut outstanding: BTreeMap<String, Outstanding> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let pool = self.pool_of(&job.record).to_owned();
             let entry = outstanding.entry(pool).or_default();
-            let late = place::is_late(job, wall);
+            let late = place::is_late(job, now);
             for (&index, occurrence) in &job.occurrences {
                 for (place, step) in job.record.spec.steps.iter().enumerate() {
                     let group = &occurrence.groups[place];
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -1,17 +1,23 @@
 //! Facts from the store: configuration, endpoints, jobs, cancellations.
 
+use std::time::Duration;
+
 use super::{Note, Scheduler, place};
 use crate::job::endpoint::Endpoint;
 use crate::job::live::{Job, Terms};
 use crate::job::{Configuration, EndpointKey, Progress, Record, Report, State};
 use crate::time::{Instant, Timestamp};
 
+/// Most that a job was on its way which came in this term: clocks of two entry hosts may
+/// differ by more.
+const MAX_FRESH_AGE: Duration = Duration::from_secs(1);
+
 impl Scheduler {
     /// Takes a newer configuration.
     pub fn set_configuration(&mut self, configuration: Configuration) {
         for job in self.jobs.values_mut() {
             if let Some(queue) = configuration.queue(&job.record.queue) {
-                job.terms = Terms::new(&job.record, Some(queue));
+                job.terms = Terms::new(&job.record, Some(queue), job.came);
             }
         }
         self.configuration = configuration;
@@ -97,11 +103,18 @@
             self.ended.insert(id.to_owned());
             return;
         }
+        let age = wall.saturating_since(record.submitted);
+        let age = if version >= self.term.since {
+            age.min(MAX_FRESH_AGE)
+        } else {
+            age
+        };
+        let came = now.saturating_sub(age);
         let queue = self.configuration.queue(&record.queue);
         let given = progress.as_ref().map(Progress::given).unwrap_or_default();
-        let mut job = Job::new(id.to_owned(), record, queue, progress);
+        let mut job = Job::new(id.to_owned(), record, queue, progress, came);
         job.progress_version = progress_version;
-        if version >= self.term.since && !place::is_late(&job, wall) {
+        if version >= self.term.since && !place::is_late(&job, now) {
             let pool = self.pool_of(&job.record).to_owned();
             self.arrivals.job_came(now, &pool, &job.record);
         }
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -5,20 +5,21 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::{Command, Note, Scheduler, Start};
 use crate::job::live::Job;
 use crate::job::run::{Phase, Run};
 use crate::job::{EndpointKey, JobKey, Name, Resource, Step, TaskRef};
-use crate::time::{Instant, Timestamp};
+use crate::time::Instant;
 
 /// Place of a job in the order of starts; the lowest goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Rank {
     class: Class,
     priority: u32,
-    /// When its remaining work must start to be in time, in milliseconds.
-    latest_start: u64,
+    /// When its remaining work must start to be in time.
+    latest_start: Instant,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -35,12 +36,12 @@
 type Open = BTreeMap<String, Vec<EndpointKey>>;
 
 impl Scheduler {
-    pub(super) fn place(&mut self, now: Instant, wall: Timestamp) {
+    pub(super) fn place(&mut self, now: Instant) {
         let mut jobs: Vec<(Rank, JobKey)> = self
             .jobs
             .iter()
             .filter(|(_, job)| !job.state.is_final())
-            .map(|(key, job)| (rank(job, wall), key))
+            .map(|(key, job)| (rank(job, now), key))
             .collect();
         jobs.sort_unstable();
         let open = self.open_endpoints(now);
@@ -363,13 +364,16 @@
     }
 }
 
-fn rank(job: &Job, wall: Timestamp) -> Rank {
+fn rank(job: &Job, now: Instant) -> Rank {
     let lasting = job.record.spec.steps.iter().any(|step| step.long_running);
     let remaining = remaining_chain_ms(job);
-    let latest_start = job.terms.deadline.as_millis().saturating_sub(remaining);
+    let latest_start = job
+        .terms
+        .deadline
+        .saturating_sub(Duration::from_millis(remaining));
     let class = if lasting {
         Class::Lasting
-    } else if latest_start >= wall.as_millis() {
+    } else if latest_start >= now {
         Class::InTime
     } else {
         Class::Late
@@ -382,8 +386,8 @@
 }
 
 /// Returns whether a job is late whatever is done.
-pub(super) fn is_late(job: &Job, wall: Timestamp) -> bool {
-    rank(job, wall).class == Class::Late
+pub(super) fn is_late(job: &Job, now: Instant) -> bool {
+    rank(job, now).class == Class::Late
 }
 
 /// Returns how long the longest chain of steps that aren't done takes, in milliseconds.
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -378,6 +378,8 @@
     let mut late = spec(vec![step(24, 16_000, 1_000)]);
     late.steps[0].estimate_ms = 1_000;
     let id = world.submit_at("a", late, 10_000);
+    // A job of an earlier term is as old as it says.
+    world.elect(false);
     world.pass(SECOND / 2);
     assert!(
         world.seen.moves.len() <= 3,
@@ -408,3 +410,15 @@
     assert!(world.pass_until_over(&slow, 4 * SECOND));
     assert_eq!(world.seen.starts.len(), before + 4);
 }
+
+#[test]
+fn a_clock_that_differs_makes_no_new_job_late() {
+    let mut world = world_with_spare(1, 12);
+    world.submit_at("a", spec(vec![step(24, 16_000, 1_000)]), 10_000);
+    world.pass(SECOND / 2);
+    assert_eq!(
+        world.seen.moves.len(),
+        12,
+        "it can be in time with every host"
+    );
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -428,7 +428,7 @@
         self.ticks += 1;
         if self.ticks.is_multiple_of(10) {
             self.list_hosts();
-            commands.extend(self.scheduler.poll_hosts(self.now, wall));
+            commands.extend(self.scheduler.poll_hosts(self.now));
         }
         for command in commands {
             self.carry_out(command);
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -163,7 +163,7 @@
         let mut commands = scheduler.poll(now, clock::wall(), authority);
         if now >= next_hosts && authority == Authority::Certain {
             next_hosts = now + HOST_TICK;
-            commands.extend(scheduler.poll_hosts(now, clock::wall()));
+            commands.extend(scheduler.poll_hosts(now));
         }
         notes::write(node, scheduler.take_notes());
         for command in commands {
