Remove finished jobs after their retention time

Ruled out: a lease for each record (each must be renewed while the job is open). Test: finished_jobs_are_kept_for_their_time_and_then_removed (no removal before the change).

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -4,7 +4,7 @@
 //! returns what to send. Nothing is assumed of an order without an answer: the run is
 //! looked for, then told to stop, and its task starts again only once it can't run.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -27,6 +27,7 @@
 mod order;
 mod pace;
 mod place;
+mod retain;
 mod save;
 mod straggle;
 mod wave;
@@ -46,6 +47,8 @@
     pub inherited_bound: Duration,
     /// Time that a host takes to move to another pool.
     pub move_time: Duration,
+    /// Time for which finished jobs are kept.
+    pub retention: Duration,
     /// Time without being at work after which a task counts as away.
     pub notice_time: Duration,
 }
@@ -153,6 +156,8 @@
     Move(Move),
     /// Slow a run down or let it go faster.
     Pace(Pace),
+    /// Remove these jobs from the store.
+    Remove(Vec<String>),
     /// Write progress to the store.
     Save(Vec<Save>),
     /// Start a run.
@@ -177,7 +182,8 @@
     jobs: SlotMap<JobKey, Job>,
     by_job: BTreeMap<String, JobKey>,
     /// Jobs that are over and saved, whose late news is to be passed over.
-    ended: BTreeSet<String>,
+    ended: BTreeMap<String, Instant>,
+    removal_in_flight: bool,
     runs: SlotMap<RunKey, Run>,
     usage: BTreeMap<String, Resource>,
     /// Processor of the ready tasks of each pool that fit nowhere, as of the last decision.
@@ -205,7 +211,8 @@
             by_id: BTreeMap::new(),
             jobs: SlotMap::with_key(),
             by_job: BTreeMap::new(),
-            ended: BTreeSet::new(),
+            ended: BTreeMap::new(),
+            removal_in_flight: false,
             runs: SlotMap::with_key(),
             usage: BTreeMap::new(),
             unplaced: BTreeMap::new(),
@@ -268,6 +275,7 @@
             return commands;
         }
         self.mark_emptying();
+        self.remove_finished(now, &mut commands);
         self.schedule_waves(now, &mut commands);
         self.resize_pools(now, &mut commands);
         commands
--- a/crates/core/src/job/scheduler/answer.rs
+++ b/crates/core/src/job/scheduler/answer.rs
@@ -181,7 +181,7 @@
     fn not_started(&mut self, now: Instant, key: RunKey, reason: &'static str) {
         self.note_not_started(key, reason);
         if let Some(task) = self.remove_run(now, key) {
-            self.drop_if_over(task.job);
+            self.drop_if_over(now, task.job);
         }
     }
 
@@ -340,7 +340,7 @@
             };
             self.endpoints[key].unsaved.push(unsaved);
         }
-        self.drop_if_over(task.job);
+        self.drop_if_over(now, task.job);
     }
 
     fn take_running(
--- a/crates/core/src/job/scheduler/finish.rs
+++ b/crates/core/src/job/scheduler/finish.rs
@@ -45,7 +45,7 @@
             reason,
         });
         if let Some(task) = self.remove_run(now, key) {
-            self.drop_if_over(task.job);
+            self.drop_if_over(now, task.job);
         }
     }
 
@@ -183,7 +183,7 @@
     }
 
     /// Drops a job that is over, saved, and has no run left.
-    pub(super) fn drop_if_over(&mut self, key: JobKey) {
+    pub(super) fn drop_if_over(&mut self, now: Instant, key: JobKey) {
         let Some(job) = self.jobs.get(key) else {
             return;
         };
@@ -195,7 +195,7 @@
         }
         if let Some(job) = self.jobs.remove(key) {
             self.by_job.remove(&job.id);
-            self.ended.insert(job.id);
+            self.ended.insert(job.id, now);
         }
     }
 
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -91,7 +91,7 @@
         record: Record,
         progress: Option<(Progress, u64)>,
     ) {
-        if self.by_job.contains_key(id) || self.ended.contains(id) {
+        if self.by_job.contains_key(id) || self.ended.contains_key(id) {
             return;
         }
         let (progress, progress_version) =
@@ -100,7 +100,7 @@
             .as_ref()
             .is_some_and(|progress| progress.state.is_final())
         {
-            self.ended.insert(id.to_owned());
+            self.ended.insert(id.to_owned(), now);
             return;
         }
         let age = wall.saturating_since(record.submitted);
--- a/crates/core/src/job/scheduler/save.rs
+++ b/crates/core/src/job/scheduler/save.rs
@@ -128,7 +128,7 @@
                 }
                 self.settle_ends(now, saves);
                 for save in saves {
-                    self.drop_if_over(save.job);
+                    self.drop_if_over(now, save.job);
                 }
             }
         }
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -422,3 +422,14 @@
         "it can be in time with every host"
     );
 }
+
+#[test]
+fn finished_jobs_are_kept_for_their_time_and_then_removed() {
+    let mut world = world(1);
+    let id = world.submit("a", spec(vec![step(1, 1_000, 100)]));
+    assert!(world.pass_until_over(&id, 2 * SECOND));
+    world.pass(140 * SECOND);
+    assert!(world.records.contains_key(&id), "it can still be asked for");
+    world.pass(15 * SECOND);
+    assert!(world.records.is_empty());
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -134,6 +134,7 @@
         inherited_bound: Duration::from_millis(9_425),
         move_time: Duration::from_millis(MOVE_MS),
         notice_time: Duration::from_millis(4_500),
+        retention: Duration::from_secs(150),
     }
 }
 
@@ -550,6 +551,14 @@
                 self.scheduler
                     .saved(self.now, &saves, &Ending::Saved(self.revision));
             }
+            Command::Remove(ids) => {
+                for id in &ids {
+                    self.progress.remove(id);
+                    self.records.remove(id);
+                    self.scheduler.forget_job(id);
+                }
+                self.scheduler.removed(&ids, true);
+            }
             Command::Move(order) => {
                 self.seen
                     .moves
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -116,6 +116,27 @@
     });
 }
 
+/// Removes finished jobs.
+pub(super) fn remove<P: Platform>(shared: &Rc<Shared<P>>, ids: Vec<String>) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let keys = |id: &String| [key::job(id), key::progress(id), key::cancellation(id)];
+        let transaction = Transaction {
+            conditions: vec![leadership(&shared)],
+            writes: Vec::new(),
+            removals: ids.iter().flat_map(keys).collect(),
+        };
+        let committed = shared.node.platform.store().commit(&transaction).await;
+        let done = matches!(committed, Ok(Committed::Done(_)));
+        let fields = o!("jobs" => ids.len(), "removed" => done);
+        event::log(&shared.node.log, Event::JobsRemoved, fields);
+        if !done {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        answer(&shared, Message::Removed(ids, done));
+    });
+}
+
 /// Records which hosts are given orders; returns whether that is certain.
 pub(super) async fn record_orders<P: Platform>(
     shared: &Shared<P>,
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -42,6 +42,9 @@
 /// Time beyond that for an order that is read late.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
+/// How much longer than promised finished jobs are kept, as a factor.
+const RETENTION_MARGIN: f64 = 1.25;
+
 /// Pause before the copy of the store is looked at again.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(5);
 
@@ -56,6 +59,8 @@
     Held(EndpointKey, Instant, Held),
     /// A write of progress ended.
     Saved(Vec<Save>, Ending),
+    /// A removal of finished jobs ended.
+    Removed(Vec<String>, bool),
     /// The hosts were listed by a call that was made at the instant.
     Hosts(Instant, Vec<Host>),
     /// An order to move a host ended.
@@ -196,6 +201,7 @@
         inherited_bound: HOLD_ON + lease_term.mul_f64(LEASE_STRETCH) + LEASE_MARGIN,
         move_time: settings.move_time,
         notice_time: settings.notice_time,
+        retention: settings.retention.mul_f64(RETENTION_MARGIN),
     };
     let mut scheduler = Scheduler::new(options, shared.mandate.term, now);
     let view = shared.node.view.borrow();
@@ -308,6 +314,7 @@
         Message::Stopped(run, settled) => scheduler.stopped(now, run, settled),
         Message::Held(endpoint, sent, held) => scheduler.held(now, endpoint, sent, held),
         Message::Saved(saves, ending) => scheduler.saved(now, &saves, &ending),
+        Message::Removed(ids, done) => scheduler.removed(&ids, done),
         Message::Hosts(asked, hosts) => scheduler.set_hosts(asked, hosts),
         Message::Moved(host, outcome) => match outcome {
             HostOrder::Accepted => {}
@@ -344,6 +351,7 @@
         Command::Hold(order) => orders::hold(shared, order),
         Command::Pace(order) => orders::pace(shared, order),
         Command::Save(saves) => save::progress(shared, saves),
+        Command::Remove(ids) => save::remove(shared, ids),
         Command::Move(order) => hosts::order(shared, Order::Move(order)),
         Command::Maintain(order) => hosts::order(shared, Order::Maintain(order)),
         Command::ReportWave(wave, state) => {
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -171,6 +171,9 @@
         "Tell the caller what the line names.";
     JobFinished = 702, Info,
         "A job is over.", "Nothing.";
+    JobsRemoved = 703, Info,
+        "Finished jobs whose retention time is over were removed from the store.",
+        "Nothing.";
     RunPlaced = 710, Info,
         "A run was placed on an endpoint.", "Nothing.";
     RunNotStarted = 711, Warning,
