Keep back tasks that any endpoint would reject, and drop settings without a use

Cause: a last read found that a start without the permission that a queue with advice needs is rejected and planned again at once: 500 starts in 5 s in the test, each with a write. Ruled out: giving up on the job (the permission may come); a pause for all rejections (want of room at one endpoint says nothing of the next). Change: after a missing permission or an unreadable order the task waits a second.

--- a/crates/core/src/job/configuration.rs
+++ b/crates/core/src/job/configuration.rs
@@ -64,8 +64,6 @@
     pub name: String,
     /// Whether the pool's hosts are switched off and cost nothing.
     pub standby: bool,
-    /// Whether the pool's endpoints reject what doesn't fit.
-    pub rejects_overload: bool,
 }
 
 /// A workspace that owns jobs.
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -45,12 +45,8 @@
     pub lease_term: Duration,
     /// Longest time for which an earlier leader's runs may go on unseen.
     pub inherited_bound: Duration,
-    /// Time that a host takes to move to another pool.
-    pub move_time: Duration,
     /// Time for which finished jobs are kept.
     pub retention: Duration,
-    /// Time without being at work after which a task counts as away.
-    pub notice_time: Duration,
 }
 
 /// A term of leadership.
--- a/crates/core/src/job/scheduler/answer.rs
+++ b/crates/core/src/job/scheduler/answer.rs
@@ -18,6 +18,9 @@
 /// Time for which an endpoint without room gets nothing new.
 const FULL_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time for which a task is kept back that any endpoint would reject.
+const REJECTED_PAUSE: Duration = Duration::from_secs(1);
+
 /// Distance to the next number when an endpoint has seen a higher one than expected.
 const NUMBER_STEP: u64 = 100;
 
@@ -175,9 +178,28 @@
             Rejection::Malformed => endpoint.shunned_until = now + UNHEALTHY_PAUSE,
             Rejection::LeaseOver | Rejection::NoPermission => {}
         }
+        self.pause_task(now, key, rejection);
         self.not_started(now, key, rejection.as_str());
     }
 
+    /// Keeps a task back that would be rejected again at once, whichever endpoint is next.
+    fn pause_task(&mut self, now: Instant, key: RunKey, rejection: Rejection) {
+        let pause = match rejection {
+            Rejection::NoPermission | Rejection::Malformed => REJECTED_PAUSE,
+            Rejection::Fenced
+            | Rejection::LeaseOver
+            | Rejection::NoRoom
+            | Rejection::StaleNumber
+            | Rejection::Unhealthy => return,
+        };
+        let task = self.runs[key].task;
+        if let Some(task) = task
+            && let Some(place) = self.jobs[task.job].task_mut(task)
+        {
+            place.not_before = now + pause;
+        }
+    }
+
     fn not_started(&mut self, now: Instant, key: RunKey, reason: &'static str) {
         self.note_not_started(key, reason);
         if let Some(task) = self.remove_run(now, key) {
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rhubarbrill_core::job::scheduler::Wave;
+use rhubarbrill_core::job::scheduler::{Rejection, Wave};
 use rhubarbrill_core::job::{Resource, State};
 use rhubarbrill_core::time::Instant;
 use rstest::rstest;
@@ -461,3 +461,18 @@
     assert!(world.pass_until_over(&after, 3 * SECOND));
     assert_eq!(world.seen.starts.len(), 20);
 }
+
+#[rstest]
+#[case::no_permission(Rejection::NoPermission)]
+#[case::malformed(Rejection::Malformed)]
+fn starts_that_any_endpoint_rejects_are_not_tried_without_pause(
+    #[case] rejection: Rejection,
+) {
+    let mut world = world(2);
+    for endpoint in world.endpoints.values_mut() {
+        endpoint.rejects = Some(rejection);
+    }
+    world.submit("a", spec(vec![step(2, 1_000, 500)]));
+    world.pass(5 * SECOND);
+    assert!(world.seen.rejections <= 2 * 5, "{}", world.seen.rejections);
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -84,6 +84,8 @@
     late: Vec<(Instant, Start)>,
     /// Whether every run fails at its end.
     pub fails: bool,
+    /// What every start is rejected with, if anything.
+    pub rejects: Option<Rejection>,
     /// How many times longer than estimated runs take.
     pub slowness: u32,
 }
@@ -99,6 +101,8 @@
     pub maintained: Vec<(Instant, String)>,
     /// States of waves as reported.
     pub waves: Vec<(u64, WaveState)>,
+    /// Number of starts that were rejected by order of the test.
+    pub rejections: usize,
     /// Number of holds.
     pub holds: usize,
     /// Most hosts in maintenance at once.
@@ -132,8 +136,6 @@
     Options {
         lease_term: Duration::from_millis(5_000),
         inherited_bound: Duration::from_millis(9_425),
-        move_time: Duration::from_millis(MOVE_MS),
-        notice_time: Duration::from_millis(4_500),
         retention: Duration::from_secs(150),
     }
 }
@@ -160,7 +162,6 @@
     configuration.pools.push(Pool {
         name: "spare".to_owned(),
         standby: true,
-        rejects_overload: true,
     });
     configuration
 }
@@ -170,7 +171,6 @@
     let pool = |name: &str| Pool {
         name: name.to_owned(),
         standby: false,
-        rejects_overload: true,
     };
     Configuration {
         version: 1,
@@ -306,6 +306,7 @@
                 stopped: BTreeMap::new(),
                 late: Vec::new(),
                 fails: false,
+                rejects: None,
                 slowness: 1,
             },
         );
@@ -605,6 +606,10 @@
         let task = order.name.to_string();
         let endpoint = self.endpoints.get_mut(&order.target.id).expect("it exists");
         let reject = |rejection| Settled::Rejected(rejection, Some(clock));
+        if let Some(rejection) = endpoint.rejects {
+            self.seen.rejections += 1;
+            return reject(rejection);
+        }
         if order.fence < endpoint.fence {
             return reject(Rejection::Fenced);
         }
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -199,8 +199,6 @@
     let options = Options {
         lease_term,
         inherited_bound: HOLD_ON + lease_term.mul_f64(LEASE_STRETCH) + LEASE_MARGIN,
-        move_time: settings.move_time,
-        notice_time: settings.notice_time,
         retention: settings.retention.mul_f64(RETENTION_MARGIN),
     };
     let mut scheduler = Scheduler::new(options, shared.mandate.term, now);
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -20,10 +20,6 @@
     pub stop_grace: Duration,
     /// Longest lease that endpoints grant.
     pub max_lease: Duration,
-    /// Time that a host takes to move to another pool.
-    pub move_time: Duration,
-    /// Time without being at work after which a task counts as away.
-    pub notice_time: Duration,
     /// Time for which a new leader gives no orders to hosts.
     pub host_order_pause: Duration,
     /// Shortest lease that the store grants.
