Serve what queues may ask for: permissions, shares, priorities, copies, due times, paces

A queue with a placement policy got no work; weights and priorities had no reader where endpoints are full; a slow run of a step that allows copies was stopped; an occurrence was ranked by when its job came; an order to change a pace that got lost was never sent again, and a new leader took it that nothing was slowed down. Ruled out: one question for all endpoints of a pool (an answer takes longer with each, and the policy answers one at a time); preemption before a job is about to be late (it throws work away). Change: scheduler modules permission, share, preempt; copies in straggle; each occurrence has its own due time; pace tells again until an endpoint knows, and stops what disturbs after a second.

--- a/crates/core/src/job/configuration.rs
+++ b/crates/core/src/job/configuration.rs
@@ -73,8 +73,9 @@
     pub name: String,
     /// Keys that its callers present.
     pub keys: Vec<String>,
-    /// Share of the workspace when all is full, relative to the others.
-    pub weight: u64,
+    /// Jobs a second that it may submit before it goes behind the others when all is full,
+    /// in thousandths; absent for no bound.
+    pub weight: Option<u64>,
     /// Most that it may have running over all endpoints; 0 stands for no limit.
     pub limit: Resource,
 }
--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -40,13 +40,16 @@
     pub(super) avoid: Vec<EndpointKey>,
     /// Whether a run of it was stopped for being slow.
     pub(super) relocated: bool,
+    /// Whether a second run may go beside the one that is slow.
+    pub(super) wants_copy: bool,
     /// No start before then.
     pub(super) not_before: Instant,
 }
 
 impl Task {
     pub(super) fn is_waiting(&self) -> bool {
-        !self.done && self.runs.is_empty()
+        let wanted = if self.wants_copy { 2 } else { 1 };
+        !self.done && self.runs.len() < wanted
     }
 
     fn is_worth_keeping(&self) -> bool {
@@ -71,6 +74,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Occurrence {
     pub(super) groups: Vec<Group>,
+    /// When it was due, by the steady clock, once that has been worked out.
+    pub(super) due_at: Option<Instant>,
 }
 
 impl Occurrence {
@@ -81,6 +86,7 @@
         };
         Self {
             groups: record.spec.steps.iter().map(group).collect(),
+            due_at: None,
         }
     }
 
@@ -138,8 +144,8 @@
 pub(super) struct Terms {
     pub(super) priority: u32,
     pub(super) attempts: u32,
-    /// When the job is late.
-    pub(super) deadline: Instant,
+    /// Time from when it is due after which an occurrence is late.
+    pub(super) allowed: Duration,
 }
 
 /// A job under way.
@@ -149,6 +155,8 @@
     pub(super) record: Record,
     /// When it came, by the steady clock.
     pub(super) came: Instant,
+    /// Whether its workspace had submitted more than its share when it came.
+    pub(super) over_share: bool,
     pub(super) terms: Terms,
     pub(super) state: State,
     pub(super) first_open: u32,
@@ -174,12 +182,13 @@
         progress: Option<Progress>,
         came: Instant,
     ) -> Self {
-        let terms = Terms::new(&record, queue, came);
+        let terms = Terms::new(&record, queue);
         let progress = progress.unwrap_or_default();
         let mut job = Self {
             id,
             record,
             came,
+            over_share: false,
             terms,
             state: progress.state,
             first_open: progress.first_open,
@@ -212,7 +221,21 @@
     }
 
     /// Opens the occurrences that are due.
-    pub(super) fn open_due(&mut self, wall: Timestamp) {
+    pub(super) fn open_due(&mut self, now: Instant, wall: Timestamp) {
+        self.open_until(wall);
+        let came = self.came;
+        for (&index, occurrence) in &mut self.occurrences {
+            let recurrence = self.record.spec.recurrence;
+            let due_at = || {
+                recurrence.map_or(came, |recurrence| {
+                    now.saturating_sub(wall.saturating_since(recurrence.due(index)))
+                })
+            };
+            occurrence.due_at.get_or_insert_with(due_at);
+        }
+    }
+
+    fn open_until(&mut self, wall: Timestamp) {
         while self.next_occurrence < self.occurrence_count() {
             let due =
                 self.record.spec.recurrence.is_none_or(|recurrence| {
@@ -311,7 +334,7 @@
 }
 
 impl Terms {
-    pub(super) fn new(record: &Record, queue: Option<&Queue>, came: Instant) -> Self {
+    pub(super) fn new(record: &Record, queue: Option<&Queue>) -> Self {
         let chain_ms = record.spec.critical_path_ms();
         let stretch = queue.map_or(1.0, |queue| queue.stretch);
         let slack = queue.map_or(0, |queue| queue.target_latency.as_millis());
@@ -326,7 +349,7 @@
         Self {
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
             attempts: queue.map_or(1, |queue| queue.attempts).max(1),
-            deadline: came + Duration::from_millis(allowed),
+            allowed: Duration::from_millis(allowed),
         }
     }
 }
--- a/crates/core/src/job/resource.rs
+++ b/crates/core/src/job/resource.rs
@@ -21,6 +21,17 @@
             && used.gpu + self.gpu <= capacity.gpu
     }
 
+    /// Returns how many times this amount fits beside `used` within `capacity`, up to `most`.
+    pub fn count_that_fits(&self, used: &Self, capacity: &Self, most: u64) -> u64 {
+        let count = |one: u64, used: u64, capacity: u64| {
+            let spare = capacity.saturating_sub(used);
+            spare.checked_div(one).unwrap_or(most)
+        };
+        most.min(count(self.cpu, used.cpu, capacity.cpu))
+            .min(count(self.memory_mb, used.memory_mb, capacity.memory_mb))
+            .min(count(self.gpu, used.gpu, capacity.gpu))
+    }
+
     /// Returns whether this amount fits beside `used` within limits where 0 stands for no
     /// limit.
     pub const fn is_within(&self, used: &Self, limit: &Self) -> bool {
--- a/crates/core/src/job/run.rs
+++ b/crates/core/src/job/run.rs
@@ -164,6 +164,8 @@
     pub(super) gauge: u64,
     /// Share of full speed that it is let work at, in percent.
     pub(super) pace: u32,
+    /// Whether the endpoint certainly knows that share, or is being told of it.
+    pub(super) pace_told: bool,
 }
 
 impl Run {
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -26,15 +26,19 @@
 mod note;
 mod order;
 mod pace;
+mod permission;
 mod place;
+mod preempt;
 mod retain;
 mod save;
+mod share;
 mod straggle;
 mod wave;
 
 pub use answer::{EndRow, Held, Rejection, Reply, Row, Settled};
 pub use capacity::{Host, HostState, Move};
 pub use note::Note;
+pub use permission::{Permit, Question, Ruling, StepRef};
 pub use save::{Ending, Save};
 pub use wave::{Upkeep, Wave, WaveState};
 
@@ -87,6 +91,8 @@
     pub checkpoint: String,
     /// End of the lease, by the endpoint's clock in milliseconds.
     pub lease_end_ms: u64,
+    /// Permission of the placement policy, where the queue has one.
+    pub ticket: Option<String>,
     /// Fencing token.
     pub fence: u64,
 }
@@ -146,6 +152,8 @@
 /// What the leader is to send.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Command {
+    /// Ask the placement policy which endpoints may run a step.
+    Ask(Question),
     /// Renew leases at an endpoint and ask for its runs.
     Hold(Hold),
     /// Move a host to another pool.
@@ -191,6 +199,8 @@
     waves: wave::Waves,
     arrivals: capacity::Arrivals,
     paces: pace::Paces,
+    permissions: permission::Permissions,
+    shares: share::Shares,
     ratios: straggle::Ratios,
     notes: Vec<Note>,
 }
@@ -219,6 +229,8 @@
             waves: wave::Waves::default(),
             arrivals: capacity::Arrivals::default(),
             paces: pace::Paces::default(),
+            permissions: permission::Permissions::default(),
+            shares: share::Shares::default(),
             ratios: straggle::Ratios::default(),
             notes: Vec::new(),
         }
@@ -255,6 +267,7 @@
         if authority == Authority::Certain {
             self.stop_stragglers(now);
             self.place(now);
+            self.order_questions(now, &mut commands);
             self.order_starts(now, &mut commands);
             self.order_stops(now, &mut commands);
             self.adjust_paces(now, &mut commands);
--- a/crates/core/src/job/scheduler/answer.rs
+++ b/crates/core/src/job/scheduler/answer.rs
@@ -176,7 +176,8 @@
                 }
             }
             Rejection::Malformed => endpoint.shunned_until = now + UNHEALTHY_PAUSE,
-            Rejection::LeaseOver | Rejection::NoPermission => {}
+            Rejection::NoPermission => self.drop_ticket(key),
+            Rejection::LeaseOver => {}
         }
         self.pause_task(now, key, rejection);
         self.not_started(now, key, rejection.as_str());
@@ -185,7 +186,9 @@
     /// Keeps a task back that would be rejected again at once, whichever endpoint is next.
     fn pause_task(&mut self, now: Instant, key: RunKey, rejection: Rejection) {
         let pause = match rejection {
-            Rejection::NoPermission | Rejection::Malformed => REJECTED_PAUSE,
+            Rejection::Malformed => REJECTED_PAUSE,
+            Rejection::NoPermission if self.asks_for(key) => return,
+            Rejection::NoPermission => REJECTED_PAUSE,
             Rejection::Fenced
             | Rejection::LeaseOver
             | Rejection::NoRoom
@@ -200,6 +203,19 @@
         }
     }
 
+    /// Returns whether permission is asked for before a run starts.
+    fn asks_for(&self, key: RunKey) -> bool {
+        let task = self.runs[key].task;
+        task.is_some_and(|task| self.advice_of(task.job).is_some())
+    }
+
+    fn drop_ticket(&mut self, key: RunKey) {
+        let run = &self.runs[key];
+        if let Some(task) = run.task {
+            self.permissions.drop_ticket(task.into(), run.endpoint);
+        }
+    }
+
     fn not_started(&mut self, now: Instant, key: RunKey, reason: &'static str) {
         self.note_not_started(key, reason);
         if let Some(task) = self.remove_run(now, key) {
@@ -281,7 +297,12 @@
     }
 
     /// Takes what an answer, or its absence, tells about the endpoint itself.
-    fn note_contact(&mut self, now: Instant, key: EndpointKey, settled: Settled) {
+    pub(super) fn note_contact(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        settled: Settled,
+    ) {
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
@@ -460,6 +481,8 @@
             percent_at: now,
             gauge: row.gauge,
             pace: 100,
+            // An earlier leader may have slowed it down.
+            pace_told: false,
         });
         self.attach(run, task, key, reserved, demand);
         let endpoint = self.endpoint_id(key);
--- a/crates/core/src/job/scheduler/finish.rs
+++ b/crates/core/src/job/scheduler/finish.rs
@@ -29,6 +29,7 @@
         }
         if let Some(place) = job.task_mut(task) {
             place.runs.retain(|&other| other != key);
+            place.wants_copy = false;
         }
         Some(task)
     }
@@ -195,6 +196,7 @@
         }
         if let Some(job) = self.jobs.remove(key) {
             self.by_job.remove(&job.id);
+            self.permissions.forget(key);
             self.ended.insert(job.id, now);
         }
     }
--- a/crates/core/src/job/scheduler/inherit.rs
+++ b/crates/core/src/job/scheduler/inherit.rs
@@ -47,6 +47,8 @@
             percent_at: now,
             gauge: 0,
             pace: 100,
+            // An earlier leader may have slowed it down.
+            pace_told: false,
         });
         self.attach(run, Some(task), endpoint, reserved, demand);
         let bound = self.began + self.options.inherited_bound;
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -17,7 +17,7 @@
     pub fn set_configuration(&mut self, configuration: Configuration) {
         for job in self.jobs.values_mut() {
             if let Some(queue) = configuration.queue(&job.record.queue) {
-                job.terms = Terms::new(&job.record, Some(queue), job.came);
+                job.terms = Terms::new(&job.record, Some(queue));
             }
         }
         self.configuration = configuration;
@@ -72,6 +72,7 @@
         for run in runs {
             self.release(now, run, reason);
         }
+        self.paces.forget(key);
         if let Some(endpoint) = self.endpoints.remove(key)
             && self.by_id.get(&endpoint.report.id) == Some(&key)
         {
@@ -114,7 +115,8 @@
         let given = progress.as_ref().map(Progress::given).unwrap_or_default();
         let mut job = Job::new(id.to_owned(), record, queue, progress, came);
         job.progress_version = progress_version;
-        if version >= self.term.since && !place::is_late(&job, now) {
+        job.over_share = !self.is_within_share(now, &job.record);
+        if version >= self.term.since && !job.over_share && !place::is_late(&job, now) {
             let pool = self.pool_of(&job.record).to_owned();
             self.arrivals.job_came(now, &pool, &job.record);
         }
@@ -151,7 +153,7 @@
         for job in self.jobs.values_mut() {
             if !job.state.is_final() {
                 let before = job.next_occurrence;
-                job.open_due(wall);
+                job.open_due(now, wall);
                 if before != job.next_occurrence && before != 0 {
                     job.touch(now);
                 }
--- a/crates/core/src/job/scheduler/note.rs
+++ b/crates/core/src/job/scheduler/note.rs
@@ -101,6 +101,26 @@
         /// Identity of the endpoint.
         endpoint: String,
     },
+    /// The placement policy was asked about a step.
+    Ruled {
+        /// Identity of the job.
+        job: String,
+        /// Position of the step.
+        step: u32,
+        /// Number of endpoints in the question.
+        asked: usize,
+        /// Number of those that may run the step; nothing without a usable answer.
+        allowed: Option<usize>,
+    },
+    /// Runs of a lower priority are stopped to make room for a job.
+    Preempts {
+        /// Identity of the job.
+        job: String,
+        /// Number of runs that are stopped.
+        runs: usize,
+        /// Work that is lost, in core-milliseconds.
+        lost: u64,
+    },
     /// A host is to change its pool.
     HostMoves {
         /// Name of the host.
--- a/crates/core/src/job/scheduler/pace.rs
+++ b/crates/core/src/job/scheduler/pace.rs
@@ -1,9 +1,13 @@
 //! Pacing: tasks that take leftover processor time slow down beside tasks whose users wait.
+//!
+//! How much the one kind disturbs the other changes within seconds. So the disturbing tasks
+//! slow down at once, by half at a time, and stop where that isn't enough; they go faster
+//! again step by step.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Command, Pace, Scheduler};
+use super::{Command, Pace, Scheduler, Settled};
 use crate::job::run::Phase;
 use crate::job::{EndpointKey, RunKey};
 use crate::time::Instant;
@@ -12,6 +16,10 @@
 /// second, and a change shows after a tenth of one.
 const ADJUST_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Time for which the tail may stay above its target before the others stop altogether: a
+/// quarter of what the platform's rules bear, as each look comes late by up to a second.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+
 /// Part of the latency target above which the others slow down, in percent.
 const SLOW_ABOVE_PERCENT: u64 = 85;
 
@@ -21,13 +29,46 @@
 /// How much faster they go at a time, in percent of full speed.
 const FASTER_STEP: u32 = 20;
 
-/// When the paces of each endpoint were last changed.
+/// What is remembered of each endpoint.
 #[derive(Debug, Default)]
 pub(super) struct Paces {
+    /// When the paces were last changed.
     adjusted: BTreeMap<EndpointKey, Instant>,
+    /// Since when the tail has been above its target.
+    above_since: BTreeMap<EndpointKey, Instant>,
+}
+
+impl Paces {
+    /// Forgets an endpoint that is gone.
+    pub(super) fn forget(&mut self, key: EndpointKey) {
+        self.adjusted.remove(&key);
+        self.above_since.remove(&key);
+    }
+
+    /// Notes a tail, and returns whether it has been above its target for too long.
+    fn is_out_of_patience(&mut self, now: Instant, key: EndpointKey, tail: u64) -> bool {
+        if tail <= 100 {
+            self.above_since.remove(&key);
+            return false;
+        }
+        let since = *self.above_since.entry(key).or_insert(now);
+        now.saturating_since(since) >= PATIENCE
+    }
 }
 
 impl Scheduler {
+    /// Takes what became of an order to change a pace.
+    pub fn paced(&mut self, now: Instant, order: &Pace, settled: Settled) {
+        if matches!(settled, Settled::Done(_)) {
+            return;
+        }
+        if let Some(run) = self.runs.get_mut(order.run) {
+            run.pace_told = false;
+            let endpoint = run.endpoint;
+            self.note_contact(now, endpoint, settled);
+        }
+    }
+
     /// Returns whether both kinds of task run on an endpoint.
     pub(super) fn needs_pacing(&self, key: EndpointKey) -> bool {
         !self.paced_runs(key).is_empty() && self.worst_tail(key).is_some()
@@ -36,51 +77,50 @@
     pub(super) fn adjust_paces(&mut self, now: Instant, commands: &mut Vec<Command>) {
         let keys: Vec<EndpointKey> = self.endpoints.keys().collect();
         for key in keys {
+            let runs = self.paced_runs(key);
+            if runs.is_empty() {
+                self.paces.forget(key);
+                continue;
+            }
+            let tail = self.worst_tail(key).unwrap_or(0);
+            let stops = self.paces.is_out_of_patience(now, key, tail);
             let last = self.paces.adjusted.get(&key).copied();
             if last.is_some_and(|at| now.saturating_since(at) < ADJUST_INTERVAL) {
                 continue;
             }
-            let Some(tail) = self.worst_tail(key) else {
-                continue;
-            };
-            let changed = self.change_paces(key, tail, commands);
+            let mut changed = false;
+            for run in runs {
+                let percent = next_pace(self.runs[run].pace, tail, stops);
+                changed |= self.set_pace(run, percent, commands);
+            }
             if changed {
                 self.paces.adjusted.insert(key, now);
             }
         }
     }
 
-    fn change_paces(
+    /// Tells an endpoint the pace of a run, unless it knows; returns whether it was told.
+    fn set_pace(
         &mut self,
-        key: EndpointKey,
-        tail_percent: u64,
+        key: RunKey,
+        percent: u32,
         commands: &mut Vec<Command>,
     ) -> bool {
-        let mut changed = false;
-        for run_key in self.paced_runs(key) {
-            let run = &mut self.runs[run_key];
-            let percent = if tail_percent > SLOW_ABOVE_PERCENT {
-                run.pace / 2
-            } else if tail_percent < FASTER_BELOW_PERCENT {
-                (run.pace + FASTER_STEP).min(100)
-            } else {
-                run.pace
-            };
-            if percent == run.pace {
-                continue;
-            }
-            run.pace = percent;
-            changed = true;
-            commands.push(Command::Pace(Pace {
-                run: run_key,
-                target: self.endpoints[key].target(),
-                name: run.name.clone(),
-                number: run.number,
-                percent,
-                fence: self.term.fence,
-            }));
+        let run = &mut self.runs[key];
+        if run.pace == percent && run.pace_told {
+            return false;
         }
-        changed
+        run.pace = percent;
+        run.pace_told = true;
+        commands.push(Command::Pace(Pace {
+            run: key,
+            target: self.endpoints[run.endpoint].target(),
+            name: run.name.clone(),
+            number: run.number,
+            percent,
+            fence: self.term.fence,
+        }));
+        true
     }
 
     /// Returns the runs on an endpoint that take leftover processor time.
@@ -105,3 +145,17 @@
         .max()
     }
 }
+
+/// Returns the next pace of a run, in percent of full speed; `tail` is in percent of its
+/// target, and `stops` tells that it has been too long for a while.
+fn next_pace(pace: u32, tail: u64, stops: bool) -> u32 {
+    if stops {
+        0
+    } else if tail > SLOW_ABOVE_PERCENT {
+        pace / 2
+    } else if tail < FASTER_BELOW_PERCENT {
+        (pace + FASTER_STEP).min(100)
+    } else {
+        pace
+    }
+}
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -10,24 +10,26 @@
 use super::{Command, Note, Scheduler, Start};
 use crate::job::live::Job;
 use crate::job::run::{Phase, Run};
-use crate::job::{EndpointKey, JobKey, Name, Resource, Step, TaskRef};
+use crate::job::{EndpointKey, JobKey, Name, Resource, RunKey, Step, TaskRef};
 use crate::time::Instant;
 
 /// Place of a job in the order of starts; the lowest goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Rank {
-    class: Class,
-    priority: u32,
+pub(super) struct Rank {
+    pub(super) class: Class,
+    pub(super) priority: u32,
     /// When its remaining work must start to be in time.
-    latest_start: Instant,
+    pub(super) latest_start: Instant,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Class {
+pub(super) enum Class {
     /// Tasks that last serve their users only while they run.
     Lasting,
     /// Can still be in time.
     InTime,
+    /// Its workspace has submitted more than its share.
+    OverShare,
     /// Is late whatever is done.
     Late,
 }
@@ -37,6 +39,15 @@
 
 impl Scheduler {
     pub(super) fn place(&mut self, now: Instant) {
+        let open = self.open_endpoints(now);
+        self.unplaced.clear();
+        for (rank, key) in self.ranked_jobs(now) {
+            self.place_job(now, key, rank, &open);
+        }
+    }
+
+    /// Returns the jobs under way in the order of their starts.
+    pub(super) fn ranked_jobs(&self, now: Instant) -> Vec<(Rank, JobKey)> {
         let mut jobs: Vec<(Rank, JobKey)> = self
             .jobs
             .iter()
@@ -44,11 +55,7 @@
             .map(|(key, job)| (rank(job, now), key))
             .collect();
         jobs.sort_unstable();
-        let open = self.open_endpoints(now);
-        self.unplaced.clear();
-        for (rank, key) in jobs {
-            self.place_job(now, key, rank.class, &open);
-        }
+        jobs
     }
 
     fn open_endpoints(&self, now: Instant) -> Open {
@@ -62,7 +69,7 @@
         open
     }
 
-    fn place_job(&mut self, now: Instant, key: JobKey, class: Class, open: &Open) {
+    fn place_job(&mut self, now: Instant, key: JobKey, rank: Rank, open: &Open) {
         let pool = self.pool_of(&self.jobs[key].record).to_owned();
         let endpoints = open.get(&pool).map_or(&[][..], Vec::as_slice);
         for (occurrence, step) in self.ready_steps(key) {
@@ -76,9 +83,10 @@
             }
             for (place, &task) in waiting.iter().enumerate() {
                 let Some(endpoint) = self.choose(now, task, endpoints) else {
-                    if class != Class::Late {
+                    if matches!(rank.class, Class::InTime | Class::Lasting) {
                         self.note_unplaced(&pool, task, waiting.len() - place);
                     }
+                    self.preempt(now, rank, &waiting[place..], endpoints);
                     break;
                 };
                 let number = self.next_number(task);
@@ -221,17 +229,18 @@
             return None;
         }
         let reserved = step.reserved();
-        let avoid = &self.jobs[task.job].task(task)?.avoid;
+        let place = self.jobs[task.job].task(task)?;
+        let avoid = &place.avoid;
         endpoints
             .iter()
             .copied()
             .filter(|&key| {
                 let endpoint = &self.endpoints[key];
-                endpoint.takes_work(now)
-                    && reserved.fits(&endpoint.used, &endpoint.report.capacity)
-                    && (step.requires.is_empty()
-                        || endpoint.report.labels.contains(&step.requires))
-                    && self.is_apart(task, step, key)
+                let beside_itself =
+                    place.runs.iter().any(|&run| self.runs[run].endpoint == key);
+                reserved.fits(&endpoint.used, &endpoint.report.capacity)
+                    && !beside_itself
+                    && self.is_suitable(now, task, key)
             })
             .min_by_key(|&key| {
                 let endpoint = &self.endpoints[key];
@@ -247,6 +256,22 @@
             })
     }
 
+    /// Returns whether a task may run on an endpoint, whether or not there is room now.
+    pub(super) fn is_suitable(
+        &self,
+        now: Instant,
+        task: TaskRef,
+        key: EndpointKey,
+    ) -> bool {
+        let endpoint = &self.endpoints[key];
+        let step = self.step(task);
+        endpoint.takes_work(now)
+            && (step.requires.is_empty()
+                || endpoint.report.labels.contains(&step.requires))
+            && self.is_apart(task, step, key)
+            && self.is_permitted(now, task, key)
+    }
+
     /// Returns the number of runs on an endpoint that last.
     pub(super) fn lasting_runs(&self, key: EndpointKey) -> usize {
         let runs = self.endpoints[key].runs.iter();
@@ -267,7 +292,7 @@
         others.count() < step.max_per_endpoint as usize
     }
 
-    fn is_within_limit(&self, task: TaskRef, demand: &Resource) -> bool {
+    pub(super) fn is_within_limit(&self, task: TaskRef, demand: &Resource) -> bool {
         let Some(workspace) = &self.jobs[task.job].record.workspace else {
             return true;
         };
@@ -328,12 +353,14 @@
             percent_at: now,
             gauge: 0,
             pace: 100,
+            pace_told: true,
         });
         self.attach(run, Some(task), key, reserved, demand);
     }
 
     /// Sends the starts of which the store knows.
     pub(super) fn order_starts(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        self.release_unpermitted(now);
         let bound = self.lease_bound(now);
         for (key, run) in &mut self.runs {
             let (Phase::Planned(generation), Some(task)) = (run.phase, run.task) else {
@@ -359,25 +386,43 @@
                 checkpoint: place
                     .map_or_else(String::new, |place| place.checkpoint.clone()),
                 lease_end_ms: endpoint.lease_end(now, self.options.lease_term),
+                ticket: self
+                    .permissions
+                    .ticket(now, task.into(), run.endpoint)
+                    .map(str::to_owned),
                 fence: self.term.fence,
             }));
         }
     }
+
+    /// Takes back planned runs whose permission ran out while the store was told of them.
+    fn release_unpermitted(&mut self, now: Instant) {
+        let planned = self.runs.iter().filter_map(|(key, run)| {
+            let is_planned = matches!(run.phase, Phase::Planned(_));
+            let task = run.task.filter(|_| is_planned)?;
+            (!self.is_permitted(now, task, run.endpoint)).then_some(key)
+        });
+        let unpermitted: Vec<RunKey> = planned.collect();
+        for key in unpermitted {
+            self.release(now, key, "permission over");
+        }
+    }
 }
 
 fn rank(job: &Job, now: Instant) -> Rank {
     let lasting = job.record.spec.steps.iter().any(|step| step.long_running);
     let remaining = remaining_chain_ms(job);
-    let latest_start = job
-        .terms
-        .deadline
-        .saturating_sub(Duration::from_millis(remaining));
+    let due_at = job.occurrences.values().next().and_then(|open| open.due_at);
+    let deadline = due_at.unwrap_or(job.came) + job.terms.allowed;
+    let latest_start = deadline.saturating_sub(Duration::from_millis(remaining));
     let class = if lasting {
         Class::Lasting
-    } else if latest_start >= now {
-        Class::InTime
-    } else {
+    } else if latest_start < now {
         Class::Late
+    } else if job.over_share {
+        Class::OverShare
+    } else {
+        Class::InTime
     };
     Rank {
         class,
--- /dev/null
+++ b/crates/core/src/job/scheduler/preempt.rs
@@ -0,0 +1,192 @@
+//! Preemption: work that can wait makes room for work of a higher priority that can't.
+//!
+//! What is stopped loses the work since its last checkpoint. So a run is stopped only for a
+//! job that would be late otherwise, and where the least work is lost.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::place::{Class, Rank};
+use super::{Note, Scheduler};
+use crate::job::run::Phase;
+use crate::job::{EndpointKey, JobKey, Resource, RunKey, TaskRef};
+use crate::time::Instant;
+
+/// Time before a job's latest start from which room is made for it: a stop and a start take
+/// this long.
+const LEAD: Duration = Duration::from_millis(300);
+
+/// Time that a task which lasts waits for room before room is made: a host that joins the
+/// pool takes less.
+const LASTING_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Runs that are to stop, and the room that their end makes.
+#[derive(Default)]
+struct Victims {
+    runs: Vec<RunKey>,
+    /// In thousandths of a core times milliseconds.
+    lost: u64,
+    /// What is used on each endpoint once they have ended and the tasks have started.
+    used: BTreeMap<EndpointKey, Resource>,
+}
+
+impl Scheduler {
+    /// Makes room for tasks of a job that can't wait any longer, as far as that is possible.
+    pub(super) fn preempt(
+        &mut self,
+        now: Instant,
+        rank: Rank,
+        tasks: &[TaskRef],
+        endpoints: &[EndpointKey],
+    ) {
+        let Some(&first) = tasks.first() else {
+            return;
+        };
+        if !self.is_urgent(now, rank, first.job)
+            || !self.is_within_limit(first, &self.step(first).demand)
+            || self.is_making_room(rank.priority, endpoints)
+        {
+            return;
+        }
+        let mut victims = Victims::default();
+        for &task in tasks {
+            if !self.make_room(now, rank.priority, task, endpoints, &mut victims) {
+                break;
+            }
+        }
+        if victims.runs.is_empty() {
+            return;
+        }
+        self.notes.push(Note::Preempts {
+            job: self.jobs[first.job].id.clone(),
+            runs: victims.runs.len(),
+            lost: victims.lost / 1_000,
+        });
+        for run in victims.runs {
+            self.stop(now, run, "room for a higher priority");
+        }
+    }
+
+    /// Adds the runs that make room for one more task where the least work is lost; returns
+    /// whether there are any.
+    fn make_room(
+        &self,
+        now: Instant,
+        priority: u32,
+        task: TaskRef,
+        endpoints: &[EndpointKey],
+        victims: &mut Victims,
+    ) -> bool {
+        let reserved = self.step(task).reserved();
+        let best = endpoints
+            .iter()
+            .filter(|&&key| self.is_suitable(now, task, key))
+            .filter_map(|&key| {
+                let (lost, runs) =
+                    self.room_on(now, priority, key, &reserved, victims)?;
+                Some((lost, runs, key))
+            })
+            .min_by_key(|(lost, _, _)| *lost);
+        let Some((lost, runs, key)) = best else {
+            return false;
+        };
+        let used = victims.used.entry(key).or_insert(self.endpoints[key].used);
+        for &run in &runs {
+            used.subtract(&self.runs[run].reserved);
+        }
+        used.add(&reserved);
+        victims.lost += lost;
+        victims.runs.extend(runs);
+        true
+    }
+
+    fn is_urgent(&self, now: Instant, rank: Rank, job: JobKey) -> bool {
+        match rank.class {
+            Class::Lasting => {
+                let came = self.jobs[job].came;
+                now.saturating_since(came) >= LASTING_PATIENCE
+            }
+            Class::InTime => rank.latest_start.saturating_since(now) <= LEAD,
+            Class::OverShare | Class::Late => false,
+        }
+    }
+
+    /// Returns whether a run of a lower priority is on its way out already.
+    fn is_making_room(&self, priority: u32, endpoints: &[EndpointKey]) -> bool {
+        endpoints.iter().any(|&key| {
+            let mut runs = self.endpoints[key].runs.iter();
+            runs.any(|&run| {
+                self.runs[run].phase.is_stopping()
+                    && self.priority_of(run).is_none_or(|other| other > priority)
+            })
+        })
+    }
+
+    fn priority_of(&self, run: RunKey) -> Option<u32> {
+        let job = self.jobs.get(self.runs[run].task?.job)?;
+        Some(job.terms.priority)
+    }
+
+    /// Returns the runs whose end makes room on an endpoint, and the work that is lost with
+    /// them; those that lose least go first.
+    fn room_on(
+        &self,
+        now: Instant,
+        priority: u32,
+        key: EndpointKey,
+        reserved: &Resource,
+        victims: &Victims,
+    ) -> Option<(u64, Vec<RunKey>)> {
+        let endpoint = &self.endpoints[key];
+        let mut used = victims.used.get(&key).copied().unwrap_or(endpoint.used);
+        let mut candidates: Vec<(u64, RunKey)> = endpoint
+            .runs
+            .iter()
+            .filter(|&run| !victims.runs.contains(run))
+            .filter(|&&run| self.may_be_preempted(priority, run))
+            .map(|&run| (self.work_lost(now, run), run))
+            .collect();
+        candidates.sort_unstable();
+        let mut runs = Vec::new();
+        let mut whole = 0;
+        for (lost, run) in candidates {
+            if reserved.fits(&used, &endpoint.report.capacity) {
+                break;
+            }
+            used.subtract(&self.runs[run].reserved);
+            whole += lost;
+            runs.push(run);
+        }
+        reserved
+            .fits(&used, &endpoint.report.capacity)
+            .then_some((whole, runs))
+    }
+
+    /// Returns whether a run may be stopped: tasks that last must stay, and a gang would
+    /// break as a whole.
+    fn may_be_preempted(&self, priority: u32, key: RunKey) -> bool {
+        let run = &self.runs[key];
+        let Some(task) = run.task else {
+            return false;
+        };
+        let step = self.step(task);
+        matches!(run.phase, Phase::Running(_))
+            && !step.long_running
+            && !step.gang
+            && self.jobs[task.job].terms.priority > priority
+    }
+
+    /// Returns the work since a run's start, or since its last checkpoint if it saves any.
+    fn work_lost(&self, now: Instant, key: RunKey) -> u64 {
+        let run = &self.runs[key];
+        let since = run.task.map_or(run.sent_at, |task| {
+            if self.step(task).checkpoints {
+                run.percent_at
+            } else {
+                run.sent_at
+            }
+        });
+        let millis = now.saturating_since(since).as_millis();
+        run.reserved.cpu * u64::try_from(millis).unwrap_or(u64::MAX)
+    }
+}
--- a/crates/core/src/job/scheduler/straggle.rs
+++ b/crates/core/src/job/scheduler/straggle.rs
@@ -2,7 +2,8 @@
 //!
 //! An endpoint may report good health and stall what it runs. A run that is overdue, and would
 //! at its pace take longer than a new start elsewhere, is stopped, and its task starts again
-//! on another endpoint. A task that is merely long goes on.
+//! on another endpoint. Where copies are allowed, the new run goes beside the slow one, and
+//! the first to end counts. A task that is merely long goes on.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -81,19 +82,24 @@
             .collect();
         for (key, task) in late {
             let endpoint = self.runs[key].endpoint;
+            let copies = self.step(task).allow_duplicates;
             if let Some(place) = self.jobs[task.job].task_mut(task) {
                 place.relocated = true;
+                place.wants_copy = copies;
                 place.avoid.push(endpoint);
             }
             self.endpoints[endpoint].note_failure(now);
-            self.stop(now, key, "far slower than such tasks elsewhere");
+            if !copies {
+                self.stop(now, key, "far slower than such tasks elsewhere");
+            }
         }
     }
 
     fn is_straggler(&self, now: Instant, key: RunKey, task: TaskRef) -> bool {
         let job = &self.jobs[task.job];
         let step = self.step(task);
-        let movable = !step.long_running && !step.gang && step.estimate_ms > 0;
+        let movable =
+            !step.long_running && !step.gang && !step.best_effort && step.estimate_ms > 0;
         let relocated = job.task(task).is_none_or(|place| place.relocated);
         if !movable || relocated || job.state.is_final() {
             return false;
--- a/crates/dispatch/src/edge.rs
+++ b/crates/dispatch/src/edge.rs
@@ -7,7 +7,8 @@
 
 use rhubarbrill_core::job::record::State;
 use rhubarbrill_core::job::scheduler::{
-    Held, Hold, Host, Move, Pace, Settled, Start, Stop, Upkeep, Wave, WaveState,
+    Held, Hold, Host, Move, Pace, Question, Ruling, Settled, Start, Stop, Upkeep, Wave,
+    WaveState,
 };
 use rhubarbrill_core::job::{Configuration, Report, Spec};
 
@@ -19,6 +20,8 @@
     type Endpoints: Endpoints;
     /// Orders for hosts.
     type Hosts: Hosts;
+    /// Questions to the placement policy.
+    type Policy: Policy;
     /// Bodies that callers send and get.
     type Bodies: Bodies;
 
@@ -28,6 +31,8 @@
     fn endpoints(&self) -> &Self::Endpoints;
     /// Returns the way to the hosts' platform.
     fn hosts(&self) -> &Self::Hosts;
+    /// Returns the way to the placement policy.
+    fn policy(&self) -> &Self::Policy;
     /// Returns the form of bodies.
     fn bodies(&self) -> &Self::Bodies;
 }
@@ -253,6 +258,13 @@
     async fn maintain(&self, order: &Upkeep, fence: u64) -> HostOrder;
 }
 
+/// Questions to the placement policy.
+#[expect(async_fn_in_trait, reason = "every future stays on its thread")]
+pub trait Policy {
+    /// Asks which endpoints may run a step.
+    async fn ask(&self, question: &Question) -> Ruling;
+}
+
 /// Bodies that callers send and get.
 pub trait Bodies {
     /// Reads a submitted job.
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -88,6 +88,30 @@
         Note::EndpointRegained { endpoint } => {
             event::log(out, Event::EndpointRegained, o!("endpoint" => endpoint));
         }
+        Note::Ruled {
+            job,
+            step,
+            asked,
+            allowed,
+        } => {
+            let outcome = if allowed.is_some() {
+                "answered"
+            } else {
+                "no answer"
+            };
+            let fields = o!(
+                "job" => job,
+                "step" => step,
+                "asked" => asked,
+                "allowed" => allowed.unwrap_or(0),
+                "outcome" => outcome,
+            );
+            event::log(out, Event::PolicyRuled, fields);
+        }
+        Note::Preempts { job, runs, lost } => {
+            let fields = o!("job" => job, "runs" => runs, "lost_core_ms" => lost);
+            event::log(out, Event::RunsPreempted, fields);
+        }
         Note::HostMoves {
             host,
             from,
--- a/crates/dispatch/src/lead/orders.rs
+++ b/crates/dispatch/src/lead/orders.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 
 use rhubarbrill_core::job::scheduler::{
-    Authority, Held, Hold, Pace, Settled, Start, Stop,
+    Authority, Held, Hold, Pace, Question, Settled, Start, Stop,
 };
 
 use super::term::{Message, Shared};
-use crate::edge::{Endpoints, Platform};
+use crate::edge::{Endpoints, Platform, Policy};
 
 /// Sends an order to start, if the leadership is still certain.
 pub(super) fn start<P: Platform>(shared: &Rc<Shared<P>>, order: Start) {
@@ -57,12 +57,21 @@
     tokio::task::spawn_local(async move {
         if is_certain(&shared) {
             let settled = shared.node.platform.endpoints().pace(&order).await;
-            // A lost change is made up for by the next look at the endpoint.
             shared.node.metrics.order("pace", outcome(settled));
+            answer(&shared, Message::Paced(order, settled));
         }
     });
 }
 
+/// Asks the placement policy.
+pub(super) fn ask<P: Platform>(shared: &Rc<Shared<P>>, question: Question) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let ruling = shared.node.platform.policy().ask(&question).await;
+        answer(&shared, Message::Ruled(question, ruling));
+    });
+}
+
 fn is_certain<P>(shared: &Shared<P>) -> bool {
     shared.mandate.certainty.authority() == Authority::Certain
 }
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
-    Authority, Command, Ending, Held, Host, Options, Save, Scheduler, Settled, Upkeep,
-    Wave, WaveState,
+    Authority, Command, Ending, Held, Host, Options, Pace, Question, Ruling, Save,
+    Scheduler, Settled, Upkeep, Wave, WaveState,
 };
 use rhubarbrill_core::job::{EndpointKey, RunKey};
 use rhubarbrill_core::time::Instant;
@@ -57,6 +57,10 @@
     Stopped(RunKey, Settled),
     /// An order to hold, sent at the instant, was settled.
     Held(EndpointKey, Instant, Held),
+    /// An order to change a pace was settled.
+    Paced(Pace, Settled),
+    /// The placement policy answered a question, or didn't.
+    Ruled(Question, Ruling),
     /// A write of progress ended.
     Saved(Vec<Save>, Ending),
     /// A removal of finished jobs ended.
@@ -311,6 +315,8 @@
         Message::Started(run, settled) => scheduler.started(now, run, settled),
         Message::Stopped(run, settled) => scheduler.stopped(now, run, settled),
         Message::Held(endpoint, sent, held) => scheduler.held(now, endpoint, sent, held),
+        Message::Paced(order, settled) => scheduler.paced(now, &order, settled),
+        Message::Ruled(question, ruling) => scheduler.ruled(now, &question, ruling),
         Message::Saved(saves, ending) => scheduler.saved(now, &saves, &ending),
         Message::Removed(ids, done) => scheduler.removed(&ids, done),
         Message::Hosts(asked, hosts) => scheduler.set_hosts(asked, hosts),
@@ -344,6 +350,7 @@
     command: Command,
 ) {
     match command {
+        Command::Ask(question) => orders::ask(shared, question),
         Command::Start(order) => orders::start(shared, order),
         Command::Stop(order) => orders::stop(shared, order),
         Command::Hold(order) => orders::hold(shared, order),
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -188,6 +188,12 @@
     RunGone = 715, Warning,
         "A run is taken to be gone without a reported end.",
         "Check the endpoint if it repeats.";
+    PolicyRuled = 716, Info,
+        "The placement policy was asked which endpoints may run a step.",
+        "Check the policy's service if it doesn't answer.";
+    RunsPreempted = 717, Info,
+        "Runs of a lower priority are stopped to make room for a job.",
+        "Give the pool more hosts if it repeats.";
     SaveFailed = 720, Warning,
         "Progress could not be written to the store; it is written again.",
         "Check the store if it repeats.";
--- a/crates/standin/src/users/endpoint.rs
+++ b/crates/standin/src/users/endpoint.rs
@@ -7,6 +7,7 @@
 
 use super::Shared;
 use super::front::{Call, Reply};
+use super::policy;
 use super::state::{Live, Ran, State};
 
 /// Time between two looks for an end.
@@ -56,6 +57,14 @@
     if call.number("until-ms") < clock_ms {
         return rejected(state, "late");
     }
+    let ticket = call.body["ticket"].as_str();
+    if state.allowed.is_some() && ticket != Some(&policy::ticket(policy::step(&task), id))
+    {
+        return rejected(state, "ticket");
+    }
+    let Some(endpoint) = state.endpoints.get_mut(id) else {
+        return (StatusCode::NOT_FOUND, Value::Null);
+    };
     endpoint.live.push(Live {
         task: task.clone(),
         run,
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -1,6 +1,6 @@
 //! What the platform holds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -81,6 +81,8 @@
     pub(crate) trouble: Trouble,
     pub(crate) endpoints: BTreeMap<String, Endpoint>,
     pub(crate) ran: Vec<Ran>,
+    /// The endpoints that the placement policy allows, if there is a policy.
+    pub(crate) allowed: Option<BTreeSet<String>>,
     pub(crate) most_at_once: usize,
 }
 
@@ -96,6 +98,7 @@
             trouble: Trouble::None,
             endpoints: BTreeMap::new(),
             ran: Vec::new(),
+            allowed: None,
             most_at_once: 0,
         }
     }
