--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -166,6 +166,8 @@
     pub(super) generation: u64,
     pub(super) saved_generation: u64,
     pub(super) changed_at: Instant,
+    /// The state that callers are shown.
+    pub(super) shown_state: State,
     /// Whether a write of it is on its way.
     pub(super) saving: bool,
     /// Whether starts wait for the store.
@@ -197,6 +199,7 @@
             generation: 0,
             saved_generation: 0,
             changed_at: Instant::ZERO,
+            shown_state: progress.state,
             saving: false,
             has_planned: false,
             progress_version: 0,
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -160,7 +160,7 @@
     Move(Move),
     /// Slow a run down or let it go faster.
     Pace(Pace),
-    /// Remove these jobs from the store.
+    /// Remove the states of these jobs from the store.
     Remove(Vec<String>),
     /// Write progress to the store.
     Save(Vec<Save>),
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -1,5 +1,6 @@
 //! Facts from the store: configuration, endpoints, jobs, cancellations.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::{Note, Scheduler, place};
@@ -97,13 +98,6 @@
         }
         let (progress, progress_version) =
             progress.map_or((None, 0), |(progress, version)| (Some(progress), version));
-        if progress
-            .as_ref()
-            .is_some_and(|progress| progress.state.is_final())
-        {
-            self.ended.insert(id.to_owned(), now);
-            return;
-        }
         let age = wall.saturating_since(record.submitted);
         let age = if version >= self.term.since {
             age.min(MAX_FRESH_AGE)
@@ -137,9 +131,15 @@
         }
     }
 
-    /// Forgets jobs that are over and have left the store.
-    pub fn forget_job(&mut self, id: &str) {
-        self.ended.remove(id);
+    /// Returns how many jobs of each queue wait for their first start.
+    pub fn pending(&self) -> BTreeMap<String, usize> {
+        let mut pending = BTreeMap::new();
+        for job in self.jobs.values() {
+            if job.state == State::Queued {
+                *pending.entry(job.record.queue.clone()).or_default() += 1;
+            }
+        }
+        pending
     }
 
     /// Returns the pool whose endpoints run a job now.
--- a/crates/core/src/job/scheduler/retain.rs
+++ b/crates/core/src/job/scheduler/retain.rs
@@ -3,11 +3,17 @@
 use super::{Command, Scheduler};
 use crate::time::Instant;
 
-/// Most jobs in one removal: each has three keys, and the store takes 32 entries at once.
-const MAX_JOBS: usize = 10;
+/// Most jobs in one removal: the store takes 32 entries at once, one of which is the condition
+/// of leadership.
+const MAX_JOBS: usize = 31;
 
 impl Scheduler {
-    /// Has jobs removed from the store whose retention time is over.
+    /// Takes note of a job that was over before this term.
+    pub fn note_finished(&mut self, now: Instant, id: &str) {
+        self.ended.entry(id.to_owned()).or_insert(now);
+    }
+
+    /// Has the states of jobs removed from the store whose retention time is over.
     pub(super) fn remove_finished(&mut self, now: Instant, commands: &mut Vec<Command>) {
         if self.removal_in_flight {
             return;
--- a/crates/core/src/job/scheduler/save.rs
+++ b/crates/core/src/job/scheduler/save.rs
@@ -10,9 +10,15 @@
 /// Time for which changes are gathered before they are written.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
-/// Most jobs in one write, so that it stays below the store's bound of 32 entries with a
-/// condition and a value for each and one condition for the leadership.
-const MAX_JOBS: usize = 15;
+/// Most entries of jobs in one write: the store takes 32, one of which is the condition of
+/// leadership.
+const MAX_ENTRIES: usize = 31;
+
+/// Entries of a job that is over: a condition, its state, and three records that leave.
+const FINAL_ENTRIES: usize = 5;
+
+/// Entries of a job under way: a condition and its progress, and its state if that is new.
+const ENTRIES: usize = 2;
 
 /// Most writes on their way at once, so that a slow store doesn't hold up starts.
 const MAX_WRITES: usize = 4;
@@ -34,6 +40,15 @@
     pub generation: u64,
     /// Store revision of the progress that this replaces; 0 for none.
     pub version: u64,
+    /// Whether callers are to be shown another state than before.
+    pub is_state_new: bool,
+}
+
+impl Save {
+    /// Returns whether the job is over, so that only its state is kept.
+    pub const fn is_final(&self) -> bool {
+        self.progress.state.is_final()
+    }
 }
 
 /// How a write of progress ended.
@@ -63,16 +78,31 @@
             }
         }
         due.sort_by_key(|&key| self.jobs[key].changed_at);
-        for batch in due.chunks(MAX_JOBS) {
-            if self.saves_in_flight >= MAX_WRITES {
-                return;
-            }
+        let mut due = &due[..];
+        while !due.is_empty() && self.saves_in_flight < MAX_WRITES {
+            let (batch, rest) = due.split_at(self.batch_size(due));
+            due = rest;
             self.saves_in_flight += 1;
             self.last_save_at = now;
             commands.push(Command::Save(self.write_out(batch)));
         }
     }
 
+    /// Returns how many of the jobs, at least one, go into one write.
+    fn batch_size(&self, due: &[JobKey]) -> usize {
+        let mut entries = 0;
+        let fits = due.iter().take_while(|&&key| {
+            let job = &self.jobs[key];
+            entries += if job.state.is_final() {
+                FINAL_ENTRIES
+            } else {
+                ENTRIES + usize::from(job.shown_state != job.state)
+            };
+            entries <= MAX_ENTRIES
+        });
+        fits.count().max(1)
+    }
+
     fn write_out(&mut self, batch: &[JobKey]) -> Vec<Save> {
         for &key in batch {
             self.jobs[key].saving = true;
@@ -85,6 +115,7 @@
                 progress: job.snapshot(|run| self.member_of(run)),
                 generation: job.generation,
                 version: job.progress_version,
+                is_state_new: job.shown_state != job.state,
             }
         };
         batch.iter().copied().map(save).collect()
@@ -120,7 +151,9 @@
             Ending::Saved(version) => {
                 for save in saves {
                     if let Some(job) = self.jobs.get_mut(save.job) {
-                        job.progress_version = *version;
+                        // The progress of a job that is over is no longer kept.
+                        job.progress_version = if save.is_final() { 0 } else { *version };
+                        job.shown_state = save.progress.state;
                         job.saved_generation = save.generation;
                         job.has_planned &= job.generation > save.generation;
                         job.changed_at = now;
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -172,6 +172,8 @@
     world.pass(SECOND);
     assert_eq!(world.live(), 0);
     assert_eq!(world.state(&id), State::Cancelled);
+    // The runs ended after the job was written as over.
+    assert_eq!(world.seen.conflicts, 0);
 }
 
 #[test]
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -16,11 +16,11 @@
 use rhubarbrill_core::job::record::Record;
 use rhubarbrill_core::job::scheduler::{
     Authority, Command, Ending, Held, Hold, Host, HostState, Options, Pace, Rejection,
-    Ruling, Scheduler, Settled, Start, Stop, Term, Upkeep, WaveState,
+    Ruling, Save, Scheduler, Settled, Start, Stop, Term, Upkeep, WaveState,
 };
 use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
-    Configuration, Name, Progress, Report, Resource, State, Step,
+    Configuration, JobKey, Name, Progress, Report, Resource, State, Step,
 };
 use rhubarbrill_core::time::{Instant, Timestamp};
 
@@ -58,6 +58,8 @@
     pub paces: usize,
     /// Longest time for which a tail latency was above its target.
     pub longest_above_target: Duration,
+    /// Number of writes that met another revision.
+    pub conflicts: usize,
     /// Number of holds.
     pub holds: usize,
     /// Most hosts in maintenance at once.
@@ -86,6 +88,8 @@
     revision: u64,
     term: Term,
     done: BTreeSet<String>,
+    /// Jobs of which the store holds nothing but their last state.
+    over: BTreeSet<String>,
     births: u64,
     ticks: u64,
 }
@@ -197,6 +201,7 @@
             revision: 100,
             term,
             done: BTreeSet::new(),
+            over: BTreeSet::new(),
             births: 0,
             ticks: 0,
         }
@@ -326,6 +331,10 @@
             }
         }
         for (id, record) in &self.records {
+            if self.over.contains(id) {
+                self.scheduler.note_finished(self.now, id);
+                continue;
+            }
             let progress = self.progress.get(id).cloned().map(|held| {
                 (
                     held,
@@ -498,23 +507,14 @@
                 None => self.scheduler.ruled(self.now, &question, Ruling::Unknown),
             },
             Command::Save(saves) => {
-                if !self.store_answers {
-                    self.scheduler.saved(self.now, &saves, &Ending::Unknown);
-                    return;
-                }
-                self.revision += 1;
-                for save in &saves {
-                    self.progress.insert(save.id.clone(), save.progress.clone());
-                    self.versions.insert(format!("p{}", save.id), self.revision);
-                }
-                self.scheduler
-                    .saved(self.now, &saves, &Ending::Saved(self.revision));
+                let ending = self.write(&saves);
+                self.scheduler.saved(self.now, &saves, &ending);
             }
             Command::Remove(ids) => {
                 for id in &ids {
                     self.progress.remove(id);
                     self.records.remove(id);
-                    self.scheduler.forget_job(id);
+                    self.over.remove(id);
                 }
                 self.scheduler.removed(&ids, true);
             }
@@ -539,6 +539,35 @@
         }
     }
 
+    /// Writes progress if the store holds what it replaces.
+    fn write(&mut self, saves: &[Save]) -> Ending {
+        if !self.store_answers {
+            return Ending::Unknown;
+        }
+        let held = |save: &Save| self.versions.get(&format!("p{}", save.id)).copied();
+        let found: Vec<(JobKey, u64)> = saves
+            .iter()
+            .map(|save| (save.job, held(save).unwrap_or(0)))
+            .collect();
+        let expected = saves.iter().map(|save| (save.job, save.version));
+        if !expected.eq(found.iter().copied()) {
+            self.seen.conflicts += 1;
+            return Ending::Conflict(found);
+        }
+        self.revision += 1;
+        for save in saves {
+            let key = format!("p{}", save.id);
+            self.progress.insert(save.id.clone(), save.progress.clone());
+            if save.is_final() {
+                self.over.insert(save.id.clone());
+                self.versions.remove(&key);
+            } else {
+                self.versions.insert(key, self.revision);
+            }
+        }
+        Ending::Saved(self.revision)
+    }
+
     fn order_start(&mut self, order: &Start) -> Settled {
         let Some(endpoint) = self.endpoints.get_mut(&order.target.id) else {
             return Settled::Unreachable;
--- a/crates/dispatch/src/edge.rs
+++ b/crates/dispatch/src/edge.rs
@@ -51,6 +51,28 @@
     Compacted,
 }
 
+/// A part of the store that is read and followed by itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Section {
+    /// What operators write: the configuration, and waves.
+    Operators,
+    /// The endpoints' registrations.
+    Registrations,
+    /// The project's records whose keys begin so.
+    Own(&'static str),
+}
+
+impl Section {
+    /// Returns the name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Operators => "operators",
+            Self::Registrations => "registrations",
+            Self::Own(start) => start,
+        }
+    }
+}
+
 /// What an item of the store says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fact {
@@ -167,19 +189,24 @@
     /// Fails without a usable answer.
     async fn get(&self, key: &str) -> Result<Option<Item>, Failure>;
 
-    /// Reads the items whose keys follow `after`.
+    /// Reads the items of a section whose keys follow `after`.
     ///
     /// # Errors
     ///
     /// Fails without a usable answer.
-    async fn list(&self, after: Option<&str>) -> Result<Page, Failure>;
+    async fn list(&self, section: Section, after: Option<&str>) -> Result<Page, Failure>;
 
-    /// Waits for changes after a revision, for at most `wait`.
+    /// Waits for changes of a section after a revision, for at most `wait`.
     ///
     /// # Errors
     ///
     /// Fails without a usable answer, and if the history is no longer kept.
-    async fn watch(&self, after: u64, wait: Duration) -> Result<Changes, Failure>;
+    async fn watch(
+        &self,
+        section: Section,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Changes, Failure>;
 
     /// Changes several keys if all conditions hold.
     ///
--- a/crates/dispatch/src/front/request.rs
+++ b/crates/dispatch/src/front/request.rs
@@ -210,13 +210,9 @@
     }
 
     fn pending(&self, call: &Call) -> Answer {
-        let view = self.node.view.borrow();
-        let waiting = view.jobs.values().filter(|job| {
-            let record = job.record.as_ref();
-            record.is_some_and(|record| record.value.queue == call.queue.name)
-                && job.state() == State::Queued
-        });
-        let body = self.node.platform.bodies().pending(waiting.count());
+        let queues = &self.node.view.borrow().pending.queues;
+        let waiting = queues.get(&call.queue.name).copied().unwrap_or(0);
+        let body = self.node.platform.bodies().pending(waiting);
         Answer::new(StatusCode::OK, "pending shown").with_body(body)
     }
 
@@ -260,7 +256,7 @@
             "reason" => answer.reason,
             "latency_ms" => u64::try_from(latency.as_millis()).unwrap_or(u64::MAX),
             "configuration" => version,
-            "as_of" => view.as_of,
+            "as_of" => view.as_of(),
         );
         event::log(&self.node.log, Event::RequestAnswered, fields);
     }
--- a/crates/dispatch/src/front/submit.rs
+++ b/crates/dispatch/src/front/submit.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use rhubarbrill_core::job::Spec;
 use rhubarbrill_core::job::record::{Record, State, Submission};
-use rhubarbrill_core::job::{Progress, Spec};
 use rhubarbrill_core::time::Instant;
 
 use super::Answer;
@@ -13,6 +13,7 @@
     Bodies, Committed, Condition, Failure, Item, Platform, Store, Transaction, Write,
 };
 use crate::node::Node;
+use crate::view::decode;
 use crate::{clock, key};
 
 /// When a caller may come back after the store turned a submission away.
@@ -53,7 +54,7 @@
     call: &Call,
     spec: Spec,
 ) -> Answer {
-    if known_state(node, &call.id).is_some() {
+    if node.view.borrow().state(&call.id).is_some() {
         return Answer::new(StatusCode::OK, "accepted before");
     }
     if is_store_lost(node) {
@@ -90,21 +91,11 @@
     let mut revision = 0;
     let mut doubtful = false;
     while clock::now() < deadline {
-        let transaction = Transaction {
-            conditions: vec![Condition {
-                key: key::job(id),
-                revision,
-            }],
-            writes: vec![Write::Own {
-                key: key::job(id),
-                value: value.clone(),
-                lease: None,
-            }],
-            removals: Vec::new(),
-        };
+        let transaction = submission(id, revision, value.clone());
         match node.platform.store().commit(&transaction).await {
-            Ok(Committed::Done(_)) => {
+            Ok(Committed::Done(revision)) => {
                 node.metrics.store_write("done");
+                node.view.borrow_mut().note_accepted(id, revision);
                 return Answer::new(StatusCode::OK, "accepted");
             }
             Ok(Committed::Conflict(items)) => match found(&items) {
@@ -131,6 +122,29 @@
     unanswered(node)
 }
 
+/// Returns the write of a job that replaces a marker of this revision, or nothing; a job that
+/// is over has a state and no record.
+fn submission(id: &str, revision: u64, value: Vec<u8>) -> Transaction {
+    Transaction {
+        conditions: vec![
+            Condition {
+                key: key::job(id),
+                revision,
+            },
+            Condition {
+                key: key::state(id),
+                revision: 0,
+            },
+        ],
+        writes: vec![Write::Own {
+            key: key::job(id),
+            value,
+            lease: None,
+        }],
+        removals: Vec::new(),
+    }
+}
+
 /// What stands under the identity of a submission that met another one.
 enum Found {
     Accepted,
@@ -139,16 +153,18 @@
 }
 
 fn found(items: &[Item]) -> Found {
-    let Some(item) = items.first() else {
-        return Found::Marker(0);
-    };
-    let Some(value) = &item.value else {
-        return Found::Marker(0);
-    };
-    match serde_json::from_slice(value) {
-        Ok(Submission::Refused) => Found::Marker(item.revision),
-        Ok(Submission::Accepted(_)) | Err(_) => Found::Accepted,
+    let mut marker = 0;
+    for item in items {
+        let Some(value) = &item.value else {
+            continue;
+        };
+        match serde_json::from_slice(value) {
+            Ok(Submission::Refused) => marker = item.revision,
+            // A job, or the state of one.
+            Ok(Submission::Accepted(_)) | Err(_) => return Found::Accepted,
+        }
     }
+    Found::Marker(marker)
 }
 
 fn turned_away<P: Platform>(node: &Node<P>) -> Answer {
@@ -167,16 +183,17 @@
 /// Writes a cancellation.
 pub(super) async fn cancel<P: Platform>(node: &Node<P>, call: &Call) -> Cancelled {
     let deadline = clock::now() + call.patience;
-    let known = known_state(node, &call.id);
+    let known = node.view.borrow().state(&call.id);
     if known.is_some_and(State::is_final) {
         return Cancelled::Done;
     }
-    let mut revision = job_revision(node, &call.id);
+    let mut revision = node.view.borrow().accepted_at(&call.id);
     while clock::now() < deadline {
         let Some(at) = revision else {
             match read(node, &call.id).await {
-                Ok(Some((_, at))) => revision = Some(at),
-                Ok(None) => return Cancelled::NoSuchJob,
+                Ok(Stored::UnderWay(at, _)) => revision = Some(at),
+                Ok(Stored::Over(_)) => return Cancelled::Done,
+                Ok(Stored::Nothing) => return Cancelled::NoSuchJob,
                 Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
             }
             continue;
@@ -204,48 +221,64 @@
 
 /// Finds the state of a job, in the store if the copy doesn't know it.
 pub(super) async fn look_up<P: Platform>(node: &Node<P>, call: &Call) -> Lookup {
-    if let Some(state) = known_state(node, &call.id) {
+    if let Some(state) = node.view.borrow().state(&call.id) {
         return Lookup::Found(state);
     }
     let deadline = clock::now() + call.patience;
     while clock::now() < deadline {
         match read(node, &call.id).await {
-            Ok(None) => return Lookup::NoSuchJob,
-            Ok(Some(_)) => {
-                if let Ok(state) = read_state(node, &call.id).await {
-                    return Lookup::Found(state);
-                }
+            Ok(Stored::UnderWay(_, state) | Stored::Over(state)) => {
+                return Lookup::Found(state);
             }
+            Ok(Stored::Nothing) => return Lookup::NoSuchJob,
             Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
     Lookup::Unknown
 }
 
-/// Reads an accepted job's record and revision.
-async fn read<P: Platform>(
-    node: &Node<P>,
-    id: &str,
-) -> Result<Option<(Submission, u64)>, Failure> {
-    let Some(item) = node.platform.store().get(&key::job(id)).await? else {
-        return Ok(None);
-    };
-    let value = item.value.unwrap_or_default();
-    match serde_json::from_slice(&value) {
-        Ok(Submission::Refused) => Ok(None),
-        Ok(accepted) => Ok(Some((accepted, item.revision))),
-        Err(error) => Err(Failure::NotDone(error.to_string())),
+/// What the store holds of a job.
+enum Stored {
+    /// The revision of its record, and its state.
+    UnderWay(u64, State),
+    /// Its last state.
+    Over(State),
+    Nothing,
+}
+
+/// Reads what the store holds of a job.
+///
+/// A job's end replaces its record by its state at once. So whoever sees neither has to look
+/// for the state once more.
+async fn read<P: Platform>(node: &Node<P>, id: &str) -> Result<Stored, Failure> {
+    let state = read_state(node, id).await?;
+    if let Some(state) = state.filter(|state| state.is_final()) {
+        return Ok(Stored::Over(state));
     }
+    if let Some(item) = node.platform.store().get(&key::job(id)).await? {
+        let value = item.value.unwrap_or_default();
+        return match decode(&value) {
+            Ok(Submission::Refused) => Ok(Stored::Nothing),
+            Ok(Submission::Accepted(_)) => {
+                let state = state.unwrap_or(State::Queued);
+                Ok(Stored::UnderWay(item.revision, state))
+            }
+            Err(reason) => Err(Failure::NotDone(reason)),
+        };
+    }
+    let state = read_state(node, id).await?;
+    Ok(state.map_or(Stored::Nothing, Stored::Over))
 }
 
-async fn read_state<P: Platform>(node: &Node<P>, id: &str) -> Result<State, Failure> {
-    let item = node.platform.store().get(&key::progress(id)).await?;
-    let Some(value) = item.and_then(|item| item.value) else {
-        return Ok(State::Queued);
-    };
-    let progress: Progress = serde_json::from_slice(&value)
-        .map_err(|error| Failure::NotDone(error.to_string()))?;
-    Ok(progress.state)
+async fn read_state<P: Platform>(
+    node: &Node<P>,
+    id: &str,
+) -> Result<Option<State>, Failure> {
+    let item = node.platform.store().get(&key::state(id)).await?;
+    let value = item.and_then(|item| item.value);
+    value
+        .map(|value| decode(&value).map_err(Failure::NotDone))
+        .transpose()
 }
 
 /// Returns whether the store hasn't answered for a while, so that a submission would only
@@ -254,15 +287,3 @@
     node.store_age(clock::now())
         .is_none_or(|age| age > LOST_AGE)
 }
-
-fn known_state<P>(node: &Node<P>, id: &str) -> Option<State> {
-    let view = node.view.borrow();
-    let job = view.jobs.get(id)?;
-    job.record.as_ref().map(|_| job.state())
-}
-
-fn job_revision<P>(node: &Node<P>, id: &str) -> Option<u64> {
-    let view = node.view.borrow();
-    let job = view.jobs.get(id)?;
-    job.record.as_ref().map(|record| record.revision)
-}
--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -3,8 +3,10 @@
 mod authority;
 mod election;
 mod hosts;
+mod kept;
 mod notes;
 mod orders;
+mod registrations;
 mod save;
 mod term;
 
--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -25,6 +25,13 @@
 /// Most that a candidate waits for the others, so that few compete.
 const MAX_STAGGER_MS: u64 = 160;
 
+/// Processor, in cores, from which on a process leads as well as any: the smaller deployments
+/// give each process as much.
+const FULL_CPU: f64 = 0.25;
+
+/// How much longer than others a candidate without any processor waits.
+const WEAK_DELAY: Duration = Duration::from_millis(800);
+
 /// Age of the copy of the store above which a process is no candidate.
 const MAX_AGE: Duration = Duration::from_millis(1_500);
 
@@ -53,7 +60,8 @@
         if !is_vacant(&node) {
             continue;
         }
-        tokio::time::sleep(stagger(&nonce)).await;
+        let delay = stagger(&nonce) + weakness_delay(node.settings.cpu);
+        tokio::time::sleep(delay).await;
         if !is_vacant(&node) || node.stopping.is_cancelled() {
             continue;
         }
@@ -77,6 +85,12 @@
     Duration::from_millis(hasher.finish() % MAX_STAGGER_MS)
 }
 
+/// Returns how long a candidate lets those go first that have more processor.
+fn weakness_delay(cpu: f64) -> Duration {
+    let missing = 1.0 - (cpu / FULL_CPU).clamp(0.0, 1.0);
+    WEAK_DELAY.mul_f64(missing)
+}
+
 async fn stand<P: Platform>(node: &Node<P>, nonce: &str) -> Option<Mandate> {
     let store = node.platform.store();
     let sent = clock::now();
--- a/crates/dispatch/src/lead/hosts.rs
+++ b/crates/dispatch/src/lead/hosts.rs
@@ -11,11 +11,11 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::sync::CancellationToken;
 
+use super::kept::Orders;
 use super::orders::answer;
 use super::save;
 use super::term::{Message, Shared};
 use crate::edge::{HostOrder, Hosts, Platform};
-use crate::view::Orders;
 use crate::{clock, event};
 
 /// Time between two readings of the list.
--- /dev/null
+++ b/crates/dispatch/src/lead/registrations.rs
@@ -0,0 +1,86 @@
+//! What the leader alone follows: endpoints' registrations, and submitted jobs.
+
+use std::collections::HashMap;
+
+use rhubarbrill_core::job::Submission;
+use rhubarbrill_core::job::scheduler::Scheduler;
+
+use super::kept::Kept;
+use crate::edge::{Change, Fact};
+use crate::key::{self, Key};
+use crate::node::Node;
+use crate::view::decode;
+use crate::{clock, sync};
+
+/// Passes what the leader follows on to its scheduler.
+#[derive(Debug)]
+pub(super) struct Registrations {
+    /// How far jobs were before this term.
+    kept: Kept,
+    /// Identity of the endpoint that each key names.
+    endpoints: HashMap<String, String>,
+}
+
+impl Registrations {
+    /// Returns registrations of nothing yet, which know what earlier leaders left.
+    pub(super) fn new(kept: Kept) -> Self {
+        Self {
+            kept,
+            endpoints: HashMap::new(),
+        }
+    }
+
+    /// Takes in a change of a registration or of a submitted job.
+    pub(super) fn take<P>(
+        &mut self,
+        node: &Node<P>,
+        scheduler: &mut Scheduler,
+        change: Change,
+    ) {
+        match change.fact {
+            Some(Fact::Endpoint(report)) => {
+                self.endpoints.insert(change.key, report.id.clone());
+                scheduler.set_endpoint(clock::now(), *report);
+            }
+            Some(Fact::Unreadable(reason)) => {
+                sync::unreadable(node, &change.key, &reason);
+                // An entry that can't be read names no endpoint to use.
+                self.unlist(scheduler, &change.key);
+            }
+            Some(Fact::Own(value)) => {
+                if let Some(Key::Job(id)) = key::parse(&change.key) {
+                    self.add_job(node, scheduler, &id, change.revision, &value);
+                }
+            }
+            None => self.unlist(scheduler, &change.key),
+            Some(Fact::Configuration(_) | Fact::Foreign | Fact::Wave(_)) => {}
+        }
+    }
+
+    fn unlist(&mut self, scheduler: &mut Scheduler, key: &str) {
+        if let Some(id) = self.endpoints.remove(key) {
+            scheduler.unlist_endpoint(clock::now(), &id);
+        }
+    }
+
+    fn add_job<P>(
+        &mut self,
+        node: &Node<P>,
+        scheduler: &mut Scheduler,
+        id: &str,
+        revision: u64,
+        value: &[u8],
+    ) {
+        let record = match decode(value) {
+            Ok(Submission::Accepted(record)) => *record,
+            Ok(Submission::Refused) => return,
+            Err(reason) => return sync::unreadable(node, &key::job(id), &reason),
+        };
+        let progress = self.kept.progress.remove(id);
+        let now = clock::now();
+        scheduler.add_job(now, clock::wall(), id, revision, record, progress);
+        if node.view.borrow().is_cancelled(id) {
+            scheduler.cancel_job(now, id);
+        }
+    }
+}
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -9,10 +9,11 @@
 use serde::Serialize;
 use slog::o;
 
+use super::kept::{Orders, WaveRecord};
 use super::orders::answer;
 use super::term::{Message, Shared};
-use crate::edge::{Committed, Condition, Platform, Store, Transaction, Write};
-use crate::view::{Orders, WaveRecord};
+use crate::edge::{Committed, Condition, Item, Platform, Store, Transaction, Write};
+use crate::view::Pending;
 use crate::{event, key};
 
 /// Pause after a failed write.
@@ -30,17 +31,27 @@
 async fn write<P: Platform>(shared: &Shared<P>, saves: &[Save]) -> Ending {
     let mut conditions = vec![leadership(shared)];
     let mut writes = Vec::with_capacity(saves.len());
+    let mut removals = Vec::new();
     for save in saves {
         conditions.push(Condition {
             key: key::progress(&save.id),
             revision: save.version,
         });
-        writes.extend(own(shared, key::progress(&save.id), &save.progress));
+        if save.is_state_new {
+            writes.extend(own(shared, key::state(&save.id), &save.progress.state));
+        }
+        if save.is_final() {
+            removals.push(key::job(&save.id));
+            removals.push(key::progress(&save.id));
+            removals.push(key::cancellation(&save.id));
+        } else {
+            writes.extend(own(shared, key::progress(&save.id), &save.progress));
+        }
     }
     let transaction = Transaction {
         conditions,
         writes,
-        removals: Vec::new(),
+        removals,
     };
     match shared.node.platform.store().commit(&transaction).await {
         Ok(Committed::Done(revision)) => {
@@ -49,16 +60,13 @@
         }
         Ok(Committed::Conflict(items)) => {
             shared.node.metrics.store_write("conflict");
+            report_conflict(shared, saves, &items);
             let leader = items.iter().find(|item| item.key == key::LEADER);
             if leader.is_some_and(|item| item.revision != shared.mandate.term.fence) {
                 shared.mandate.certainty.end();
             }
-            let version = |save: &Save| {
-                let wanted = key::progress(&save.id);
-                let item = items.iter().find(|item| item.key == wanted)?;
-                Some((save.job, item.revision))
-            };
-            Ending::Conflict(saves.iter().filter_map(version).collect())
+            let version = |save: &Save| (save.job, stored_revision(&items, save));
+            Ending::Conflict(saves.iter().map(version).collect())
         }
         Ok(Committed::LeaseGone) => Ending::Unknown,
         Err(failure) => {
@@ -71,6 +79,32 @@
     }
 }
 
+/// Returns the revision of a job's progress in the store; 0 if there is none.
+fn stored_revision(items: &[Item], save: &Save) -> u64 {
+    let wanted = key::progress(&save.id);
+    let item = items.iter().find(|item| item.key == wanted);
+    item.map_or(0, |item| item.revision)
+}
+
+/// Logs the first item that a write found changed.
+fn report_conflict<P>(shared: &Shared<P>, saves: &[Save], items: &[Item]) {
+    let changed = saves
+        .iter()
+        .map(|save| (save, stored_revision(items, save)))
+        .find(|(save, found)| save.version != *found);
+    let (job, expected, found) = changed.map_or(("", 0, 0), |(save, found)| {
+        (save.id.as_str(), save.version, found)
+    });
+    let fields = o!(
+        "reason" => "the store holds another revision",
+        "job" => job.to_owned(),
+        "jobs" => saves.len(),
+        "expected" => expected,
+        "found" => found,
+    );
+    event::log(&shared.node.log, Event::SaveFailed, fields);
+}
+
 /// Writes a wave's state for operators, and records it.
 pub(super) fn report_wave<P: Platform>(
     shared: &Rc<Shared<P>>,
@@ -116,15 +150,24 @@
     });
 }
 
-/// Removes finished jobs.
+/// Writes how many jobs wait in each queue.
+pub(super) fn pending<P: Platform>(shared: &Rc<Shared<P>>, pending: Pending) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let writes = own(&shared, key::PENDING.to_owned(), &pending);
+        let written = commit(&shared, writes.into_iter().collect()).await;
+        answer(&shared, Message::PendingWritten(written));
+    });
+}
+
+/// Removes the states of finished jobs.
 pub(super) fn remove<P: Platform>(shared: &Rc<Shared<P>>, ids: Vec<String>) {
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
-        let keys = |id: &String| [key::job(id), key::progress(id), key::cancellation(id)];
         let transaction = Transaction {
             conditions: vec![leadership(&shared)],
             writes: Vec::new(),
-            removals: ids.iter().flat_map(keys).collect(),
+            removals: ids.iter().map(|id| key::state(id)).collect(),
         };
         let committed = shared.node.platform.store().commit(&transaction).await;
         let done = matches!(committed, Ok(Committed::Done(_)));
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -18,11 +18,14 @@
 use super::authority::HOLD_ON;
 use super::election::Mandate;
 use super::hosts::Order;
+use super::kept::Kept;
+use super::orders::answer;
+use super::registrations::Registrations;
 use super::{hosts, notes, orders, save};
-use crate::edge::{HostOrder, Platform, Store};
+use crate::edge::{Changes, HostOrder, Platform, Section, Store};
 use crate::node::Node;
-use crate::view::Delta;
-use crate::{clock, event};
+use crate::view::{Delta, Pending};
+use crate::{clock, event, key, sync};
 
 /// Time between two decisions while nothing happens.
 const TICK: Duration = Duration::from_millis(25);
@@ -30,6 +33,10 @@
 /// Time between two decisions on hosts.
 const HOST_TICK: Duration = Duration::from_millis(100);
 
+/// Time between two looks at how many jobs wait; callers may be told numbers of two seconds
+/// ago.
+const PENDING_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time between two renewals of the leader's lease.
 const RENEW_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -63,6 +70,10 @@
     Ruled(Question, Ruling),
     /// A write of progress ended.
     Saved(Vec<Save>, Ending),
+    /// The numbers of waiting jobs were written, or not.
+    PendingWritten(bool),
+    /// What the leader follows has changed.
+    Followed(Section, Changes),
     /// A removal of finished jobs ended.
     Removed(Vec<String>, bool),
     /// The hosts were listed by a call that was made at the instant.
@@ -102,15 +113,16 @@
     let listing = tokio::task::spawn_local(hosts::list(Rc::clone(&shared), done.clone()));
     let ordering =
         tokio::task::spawn_local(hosts::send(Rc::clone(&shared), orders, done.clone()));
+    let following = tokio::task::spawn_local(follow(Rc::clone(&shared), done.clone()));
     report(&shared, Event::TermBegan);
-    if catch_up(&shared).await {
+    if let Some(kept) = catch_up(&shared).await {
         while news.try_recv().is_ok() {}
-        work(&shared, &mut messages, &mut news).await;
+        work(&shared, kept, &mut messages, &mut news).await;
     }
     done.cancel();
     *shared.node.leader_news.borrow_mut() = None;
     // They end by themselves; a failure in them has been logged.
-    let _ = tokio::join!(renewal, listing, ordering);
+    let _ = tokio::join!(renewal, listing, ordering, following);
     // Without an answer the lease ends by itself.
     let _ = shared
         .node
@@ -121,62 +133,154 @@
     report(&shared, Event::TermEnded);
 }
 
+/// Follows what the leader alone needs until the term is over.
+async fn follow<P: Platform>(shared: Rc<Shared<P>>, done: CancellationToken) {
+    let section = |section| {
+        let shared = &shared;
+        sync::follow(&shared.node, section, sync::SHORT_PAUSE, move |changes| {
+            answer(shared, Message::Followed(section, changes));
+        })
+    };
+    tokio::select! {
+        () = done.cancelled() => {}
+        () = section(Section::Registrations) => {}
+        () = section(Section::Own(key::JOBS)) => {}
+    }
+}
+
 fn report<P: Platform>(shared: &Shared<P>, what: Event) {
     let term = shared.mandate.term;
     let fields = o!("fence" => term.fence, "term" => term.number);
     event::log(&shared.node.log, what, fields);
 }
 
-/// Waits until the copy holds all that was written before the term began.
-async fn catch_up<P: Platform>(shared: &Shared<P>) -> bool {
-    while !shared.mandate.certainty.is_over() && !shared.node.stopping.is_cancelled() {
-        if shared.node.view.borrow().as_of >= shared.mandate.term.since {
-            return true;
+/// Waits until the copy holds all that was written before the term began, and reads what
+/// earlier leaders left.
+async fn catch_up<P: Platform>(shared: &Shared<P>) -> Option<Kept> {
+    let is_over =
+        || shared.mandate.certainty.is_over() || shared.node.stopping.is_cancelled();
+    let kept = Kept::read(&shared.node, is_over).await?;
+    while !is_over() {
+        if shared.node.view.borrow().as_of() >= shared.mandate.term.since {
+            return Some(kept);
         }
         tokio::time::sleep(CATCH_UP_PAUSE).await;
     }
-    false
+    None
+}
+
+/// What the leader decides with.
+struct Desk {
+    scheduler: Scheduler,
+    registrations: Registrations,
+    pending: Pending,
+    next_pending: Instant,
+    next_hosts: Instant,
 }
 
 async fn work<P: Platform>(
     shared: &Rc<Shared<P>>,
+    kept: Kept,
     messages: &mut UnboundedReceiver<Message>,
     news: &mut UnboundedReceiver<Vec<Delta>>,
 ) {
     let node = &shared.node;
-    let mut scheduler = new_scheduler(shared);
-    let mut next_hosts = clock::now();
+    let Some(mut desk) = set_up(shared, kept, messages).await else {
+        return;
+    };
     let mut certain = Authority::Certain;
     loop {
         let wake = tokio::time::sleep(TICK);
         tokio::select! {
             Some(message) = messages.recv() => {
-                take(shared, &mut scheduler, message);
+                take(shared, &mut desk, message);
                 while let Ok(message) = messages.try_recv() {
-                    take(shared, &mut scheduler, message);
+                    take(shared, &mut desk, message);
                 }
             }
-            Some(deltas) = news.recv() => learn_all(shared, &mut scheduler, &deltas),
+            Some(deltas) = news.recv() => learn_all(shared, &mut desk.scheduler, &deltas),
             () = wake => {}
             () = node.stopping.cancelled() => return,
         }
         while let Ok(deltas) = news.try_recv() {
-            learn_all(shared, &mut scheduler, &deltas);
+            learn_all(shared, &mut desk.scheduler, &deltas);
         }
-        if scheduler.is_deposed() || shared.mandate.certainty.is_over() {
+        if desk.scheduler.is_deposed() || shared.mandate.certainty.is_over() {
             return;
         }
         let authority = shared.mandate.certainty.authority();
         note_authority(shared, &mut certain, authority);
-        let now = clock::now();
-        let mut commands = scheduler.poll(now, clock::wall(), authority);
-        if now >= next_hosts && authority == Authority::Certain {
-            next_hosts = now + HOST_TICK;
-            commands.extend(scheduler.poll_hosts(now));
+        decide(shared, &mut desk, authority);
+    }
+}
+
+/// Waits for the first reading of what the leader follows, and begins with it.
+async fn set_up<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    kept: Kept,
+    messages: &mut UnboundedReceiver<Message>,
+) -> Option<Desk> {
+    let mut early = Vec::new();
+    let (mut endpoints, mut jobs) = (None, None);
+    while endpoints.is_none() || jobs.is_none() {
+        let wake = tokio::time::sleep(TICK);
+        tokio::select! {
+            message = messages.recv() => match message? {
+                Message::Followed(Section::Registrations, read) if endpoints.is_none() => {
+                    endpoints = Some(read);
+                }
+                Message::Followed(Section::Own(_), read) if jobs.is_none() => {
+                    jobs = Some(read);
+                }
+                message => early.push(message),
+            },
+            () = wake => {}
+            () = shared.node.stopping.cancelled() => return None,
         }
-        notes::write(node, scheduler.take_notes());
-        for command in commands {
-            carry_out(shared, &scheduler, command);
+        if shared.mandate.certainty.is_over() {
+            return None;
+        }
+    }
+    let now = clock::now();
+    let mut desk = Desk {
+        scheduler: new_scheduler(shared, &kept),
+        registrations: Registrations::new(kept),
+        pending: Pending::default(),
+        next_pending: now,
+        next_hosts: now,
+    };
+    // Endpoints first: runs that jobs have there are matched with them.
+    for read in [endpoints?, jobs?] {
+        take(
+            shared,
+            &mut desk,
+            Message::Followed(Section::Registrations, read),
+        );
+    }
+    for message in early {
+        take(shared, &mut desk, message);
+    }
+    Some(desk)
+}
+
+fn decide<P: Platform>(shared: &Rc<Shared<P>>, desk: &mut Desk, authority: Authority) {
+    let now = clock::now();
+    let scheduler = &mut desk.scheduler;
+    let mut commands = scheduler.poll(now, clock::wall(), authority);
+    if now >= desk.next_hosts && authority == Authority::Certain {
+        desk.next_hosts = now + HOST_TICK;
+        commands.extend(scheduler.poll_hosts(now));
+    }
+    notes::write(&shared.node, scheduler.take_notes());
+    for command in commands {
+        carry_out(shared, scheduler, command);
+    }
+    if now >= desk.next_pending {
+        desk.next_pending = now + PENDING_INTERVAL;
+        let queues = scheduler.pending();
+        if queues != desk.pending.queues {
+            desk.pending = Pending { queues };
+            save::pending(shared, desk.pending.clone());
         }
     }
 }
@@ -196,7 +300,7 @@
     }
 }
 
-fn new_scheduler<P: Platform>(shared: &Shared<P>) -> Scheduler {
+fn new_scheduler<P: Platform>(shared: &Shared<P>, kept: &Kept) -> Scheduler {
     let now = clock::now();
     let settings = &shared.node.settings;
     let lease_term = RUN_LEASE.min(settings.max_lease);
@@ -207,7 +311,7 @@
     };
     let mut scheduler = Scheduler::new(options, shared.mandate.term, now);
     let view = shared.node.view.borrow();
-    for (host, &age_ms) in &view.orders.hosts {
+    for (host, &age_ms) in &kept.orders.hosts {
         let age = Duration::from_millis(age_ms);
         let left = settings.host_order_pause.saturating_sub(age);
         scheduler.keep_host_until(host, now + left);
@@ -215,14 +319,15 @@
     if let Some(configuration) = &view.configuration {
         scheduler.set_configuration((**configuration).clone());
     }
-    for report in view.endpoints.values() {
-        scheduler.set_endpoint(now, report.clone());
-    }
-    for id in view.jobs.keys() {
-        learn_job(&view, &mut scheduler, now, id);
+    for id in view.finished() {
+        scheduler.note_finished(now, id);
     }
-    for &number in view.waves.keys() {
-        learn_wave(&view, &mut scheduler, number);
+    for (number, wave) in &view.waves {
+        match kept.waves.get(number) {
+            Some(record) if record.completed => scheduler.complete_wave(*number),
+            Some(record) => scheduler.add_wave(wave.clone(), record.done.clone()),
+            None => scheduler.add_wave(wave.clone(), BTreeSet::new()),
+        }
     }
     scheduler
 }
@@ -233,7 +338,6 @@
     deltas: &[Delta],
 ) {
     let view = shared.node.view.borrow();
-    let now = clock::now();
     for delta in deltas {
         match delta {
             Delta::Configuration => {
@@ -241,16 +345,12 @@
                     scheduler.set_configuration((**configuration).clone());
                 }
             }
-            Delta::Endpoint(id) => {
-                if let Some(report) = view.endpoints.get(id) {
-                    scheduler.set_endpoint(now, report.clone());
+            Delta::Cancelled(id) => scheduler.cancel_job(clock::now(), id),
+            Delta::Wave(number) => {
+                if let Some(wave) = view.waves.get(number) {
+                    scheduler.add_wave(wave.clone(), BTreeSet::new());
                 }
             }
-            Delta::EndpointGone(id) => scheduler.unlist_endpoint(now, id),
-            Delta::Job(id) => learn_job(&view, scheduler, now, id),
-            Delta::Cancelled(id) => scheduler.cancel_job(now, id),
-            Delta::JobGone(id) => scheduler.forget_job(id),
-            Delta::Wave(number) => learn_wave(&view, scheduler, *number),
             Delta::Leader => {
                 let fence = shared.mandate.term.fence;
                 if view
@@ -261,57 +361,23 @@
                     shared.mandate.certainty.end();
                 }
             }
-            Delta::Progress | Delta::Unreadable { .. } => {}
+            Delta::State | Delta::Unreadable { .. } => {}
         }
     }
 }
 
-fn learn_job(
-    view: &crate::view::View,
-    scheduler: &mut Scheduler,
-    now: Instant,
-    id: &str,
-) {
-    let Some(job) = view.jobs.get(id) else {
-        return;
-    };
-    let Some(record) = &job.record else {
-        return;
-    };
-    let progress = job.progress.as_ref();
-    scheduler.add_job(
-        now,
-        clock::wall(),
-        id,
-        record.revision,
-        (*record.value).clone(),
-        progress.map(|progress| (progress.value.clone(), progress.revision)),
-    );
-    if job.cancelled {
-        scheduler.cancel_job(now, id);
-    }
-}
-
-fn learn_wave(view: &crate::view::View, scheduler: &mut Scheduler, number: u64) {
-    let Some(wave) = view.waves.get(&number) else {
-        return;
-    };
-    let record = view.wave_records.get(&number);
-    if record.is_some_and(|record| record.value.completed) {
-        scheduler.complete_wave(number);
-        return;
-    }
-    let done = record.map_or_else(BTreeSet::new, |record| record.value.done.clone());
-    scheduler.add_wave(wave.clone(), done);
-}
-
-fn take<P: Platform>(
-    shared: &Rc<Shared<P>>,
-    scheduler: &mut Scheduler,
-    message: Message,
-) {
+fn take<P: Platform>(shared: &Rc<Shared<P>>, desk: &mut Desk, message: Message) {
     let now = clock::now();
+    let scheduler = &mut desk.scheduler;
     match message {
+        Message::Followed(_, changes) => {
+            for change in changes.changes {
+                desk.registrations.take(&shared.node, scheduler, change);
+            }
+        }
+        // The next look writes them again.
+        Message::PendingWritten(false) => desk.pending = Pending::default(),
+        Message::PendingWritten(true) => {}
         Message::Started(run, settled) => scheduler.started(now, run, settled),
         Message::Stopped(run, settled) => scheduler.stopped(now, run, settled),
         Message::Held(endpoint, sent, held) => scheduler.held(now, endpoint, sent, held),
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -1,6 +1,6 @@
 //! What the tasks of a process share.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,7 +37,6 @@
     pub stopping: CancellationToken,
     /// Where the leader's task takes news of the store, while this process leads.
     pub leader_news: RefCell<Option<mpsc::UnboundedSender<Vec<Delta>>>>,
-    store_lost: Cell<bool>,
 }
 
 impl<P> Node<P> {
@@ -58,7 +57,6 @@
             changed: Notify::new(),
             stopping,
             leader_news: RefCell::new(None),
-            store_lost: Cell::new(true),
         }
     }
 
@@ -69,7 +67,7 @@
 
     /// Returns how old the newest word of the store is.
     pub fn store_age(&self, now: Instant) -> Option<Duration> {
-        let heard = self.view.borrow().heard_at?;
+        let heard = self.view.borrow().heard_at()?;
         Some(now.saturating_since(heard))
     }
 
@@ -80,14 +78,4 @@
             .is_some_and(|age| age <= UNREADY_AGE);
         fresh && self.configuration().is_some() && !self.stopping.is_cancelled()
     }
-
-    /// Returns whether this process leads.
-    pub fn is_leading(&self) -> bool {
-        self.leader_news.borrow().is_some()
-    }
-
-    /// Notes whether the store answers; returns true when that has changed.
-    pub fn note_store(&self, lost: bool) -> bool {
-        self.store_lost.replace(lost) != lost
-    }
 }
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -70,7 +70,7 @@
     ));
     let fields = o!("callers" => node.settings.callers.to_string());
     event::log(&node.log, Event::Started, fields);
-    tokio::task::spawn_local(sync::follow(Rc::clone(&node)));
+    tokio::task::spawn_local(sync::follow_shared(Rc::clone(&node)));
     tokio::task::spawn_local(serve_status(Rc::clone(&node), readiness));
     tokio::task::spawn_local(serve_status(Rc::clone(&node), metrics));
     let leading = tokio::task::spawn_local(lead::campaign(Rc::clone(&node)));
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -26,4 +26,6 @@
     pub min_lease: Duration,
     /// Time for which a finished job can be asked for.
     pub retention: Duration,
+    /// Processor that the process may use, in cores.
+    pub cpu: f64,
 }
--- a/crates/dispatch/src/sync.rs
+++ b/crates/dispatch/src/sync.rs
@@ -1,121 +1,198 @@
-//! Keeps the copy of the store up to date.
+//! Follows sections of the store.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use rhubarbrill_event::Event;
 use slog::o;
 
-use crate::edge::{Changes, Failure, Platform, Store};
+use crate::edge::{Change, Changes, Failure, Platform, Section, Store};
 use crate::node::Node;
 use crate::view::Delta;
-use crate::{clock, event};
+use crate::{clock, event, key};
 
 /// Longest time that a watch waits for a change; a connection that has gone silent is noticed
 /// shortly after.
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Pause between two watches, which gathers changes; each watch is paid for.
-const FOLLOWER_PAUSE: Duration = Duration::from_millis(150);
+pub const PAUSE: Duration = Duration::from_millis(150);
 
-/// The same at the leader, whose jobs wait for it.
-const LEADER_PAUSE: Duration = Duration::from_millis(20);
+/// The same where the leader's jobs wait for the news.
+pub const SHORT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
-/// Follows the store until the process ends.
-pub async fn follow<P: Platform>(node: Rc<Node<P>>) {
+/// A section on its way through time.
+#[derive(Debug)]
+struct Follower<'a, P> {
+    node: &'a Node<P>,
+    section: Section,
+    pause: Duration,
+    as_of: u64,
+    /// Store revision of the last change of each key that exists.
+    revisions: HashMap<String, u64>,
+    lost: bool,
+}
+
+/// Keeps the copy that every process has up to date until the process ends.
+pub async fn follow_shared<P: Platform>(node: Rc<Node<P>>) {
+    let operators = Section::Operators;
+    let shared = Section::Own(key::SHARED);
+    tokio::join!(
+        follow(&node, operators, PAUSE, |news| take(&node, operators, news)),
+        follow(&node, shared, PAUSE, |news| take(&node, shared, news)),
+    );
+}
+
+/// Follows a section for good: first it is read whole, then its changes.
+pub async fn follow<P: Platform>(
+    node: &Node<P>,
+    section: Section,
+    pause: Duration,
+    take: impl Fn(Changes),
+) {
+    let mut follower = Follower {
+        node,
+        section,
+        pause,
+        as_of: 0,
+        revisions: HashMap::new(),
+        lost: true,
+    };
     loop {
-        match list(&node).await {
-            Ok(()) => watch(&node).await,
-            Err(failure) => failed(&node, &failure).await,
+        match follower.list().await {
+            Ok(changes) => {
+                take(changes);
+                follower.watch(&take).await;
+            }
+            Err(failure) => follower.failed(&failure).await,
         }
     }
 }
 
-/// Reads everything.
-async fn list<P: Platform>(node: &Node<P>) -> Result<(), Failure> {
-    let mut listed = BTreeSet::new();
-    let mut items = Vec::new();
-    let mut after: Option<String> = None;
+/// Reads a section whole.
+///
+/// # Errors
+///
+/// Fails when a page can't be had.
+pub async fn read<P: Platform>(
+    node: &Node<P>,
+    section: Section,
+) -> Result<Changes, Failure> {
+    let mut items: Vec<Change> = Vec::new();
     let mut as_of = None;
     loop {
-        let page = node.platform.store().list(after.as_deref()).await?;
+        let after = items.last().map(|item| item.key.as_str());
+        let page = node.platform.store().list(section, after).await?;
+        // Pages are no snapshot: changes after the first one are still to be followed.
         let first = *as_of.get_or_insert(page.as_of);
-        listed.extend(page.items.iter().map(|item| item.key.clone()));
-        after = page.items.last().map(|item| item.key.clone()).or(after);
+        let is_over = !page.has_more || page.items.is_empty();
         items.extend(page.items);
-        if !page.has_more {
-            let missing = node.view.borrow().missing(&listed, first);
-            items.extend(missing);
-            take(
-                node,
-                Changes {
-                    changes: items,
-                    as_of: first,
-                },
-            );
-            return Ok(());
+        if is_over {
+            return Ok(Changes {
+                changes: items,
+                as_of: first,
+            });
         }
     }
 }
 
-/// Follows changes until history is missing.
-async fn watch<P: Platform>(node: &Node<P>) {
-    loop {
-        let after = node.view.borrow().as_of;
-        match node.platform.store().watch(after, WATCH_WAIT).await {
-            Ok(changes) => {
-                let quiet = changes.changes.is_empty();
-                take(node, changes);
-                if !quiet {
-                    pause(node).await;
+impl<P: Platform> Follower<'_, P> {
+    async fn list(&mut self) -> Result<Changes, Failure> {
+        let mut read = read(self.node, self.section).await?;
+        let listed: BTreeSet<&str> =
+            read.changes.iter().map(|item| item.key.as_str()).collect();
+        let missing = self.missing(&listed, read.as_of);
+        read.changes.extend(missing);
+        self.heard(read.as_of);
+        Ok(self.newer(read))
+    }
+
+    /// Follows changes until history is missing.
+    async fn watch(&mut self, take: &impl Fn(Changes)) {
+        loop {
+            let store = self.node.platform.store();
+            match store.watch(self.section, self.as_of, WATCH_WAIT).await {
+                Ok(changes) => {
+                    let quiet = changes.changes.is_empty();
+                    self.heard(changes.as_of);
+                    let changes = self.newer(changes);
+                    take(changes);
+                    if !quiet {
+                        tokio::time::sleep(self.pause).await;
+                    }
                 }
+                Err(Failure::Compacted) => {
+                    let fields =
+                        o!("as_of" => self.as_of, "section" => self.section.as_str());
+                    event::log(&self.node.log, Event::HistoryMissing, fields);
+                    return;
+                }
+                Err(failure) => self.failed(&failure).await,
             }
-            Err(Failure::Compacted) => {
-                event::log(&node.log, Event::HistoryMissing, o!("as_of" => after));
-                return;
-            }
-            Err(failure) => failed(node, &failure).await,
         }
     }
-}
 
-async fn pause<P: Platform>(node: &Node<P>) {
-    let pause = if node.is_leading() {
-        LEADER_PAUSE
-    } else {
-        FOLLOWER_PAUSE
-    };
-    tokio::time::sleep(pause).await;
-}
+    fn heard(&mut self, as_of: u64) {
+        self.as_of = self.as_of.max(as_of);
+        if std::mem::replace(&mut self.lost, false) {
+            let fields = o!("as_of" => as_of, "section" => self.section.as_str());
+            event::log(&self.node.log, Event::StoreReachable, fields);
+        }
+    }
 
-async fn failed<P: Platform>(node: &Node<P>, failure: &Failure) {
-    if node.note_store(true) {
-        let age = node.store_age(clock::now()).map(|age| age.as_millis());
-        let fields = o!("reason" => failure.to_string(), "age_ms" => format!("{age:?}"));
-        event::log(&node.log, Event::StoreUnreachable, fields);
+    async fn failed(&mut self, failure: &Failure) {
+        if !std::mem::replace(&mut self.lost, true) {
+            let age = self.node.store_age(clock::now());
+            let fields = o!(
+                "reason" => failure.to_string(),
+                "section" => self.section.as_str(),
+                "age_ms" => format!("{:?}", age.map(|age| age.as_millis())),
+            );
+            event::log(&self.node.log, Event::StoreUnreachable, fields);
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
     }
-    tokio::time::sleep(RETRY_PAUSE).await;
-}
 
-fn take<P: Platform>(node: &Node<P>, changes: Changes) {
-    if node.note_store(false) {
-        event::log(
-            &node.log,
-            Event::StoreReachable,
-            o!("as_of" => changes.as_of),
-        );
+    /// Returns the changes that remove what a whole listing no longer has.
+    fn missing(&self, listed: &BTreeSet<&str>, as_of: u64) -> Vec<Change> {
+        self.revisions
+            .iter()
+            .filter(|(key, revision)| {
+                **revision <= as_of && !listed.contains(key.as_str())
+            })
+            .map(|(key, revision)| Change {
+                key: key.clone(),
+                // A removal is newer than what it removes.
+                revision: as_of.max(revision + 1),
+                fact: None,
+            })
+            .collect()
     }
-    let deltas = {
-        let mut view = node.view.borrow_mut();
-        let deltas = view.apply(changes.changes);
-        view.as_of = view.as_of.max(changes.as_of);
-        view.heard_at = Some(clock::now());
-        deltas
-    };
+
+    /// Keeps the changes that aren't known yet.
+    fn newer(&mut self, mut changes: Changes) -> Changes {
+        changes.changes.retain(|change| {
+            let known = self.revisions.get(&change.key).copied().unwrap_or(0);
+            if change.revision <= known {
+                return false;
+            }
+            if change.fact.is_some() {
+                self.revisions.insert(change.key.clone(), change.revision);
+            } else {
+                self.revisions.remove(&change.key);
+            }
+            true
+        });
+        changes
+    }
+}
+
+fn take<P: Platform>(node: &Node<P>, section: Section, changes: Changes) {
+    let deltas = node.view.borrow_mut().apply(clock::now(), section, changes);
     for delta in &deltas {
         report(node, delta);
     }
@@ -131,8 +208,7 @@
     match delta {
         Delta::Configuration => {
             let version = node.configuration().map_or(0, |held| held.version);
-            let fields = o!("version" => version, "as_of" => node.view.borrow().as_of);
-            event::log(&node.log, Event::RevisionInForce, fields);
+            event::log(&node.log, Event::RevisionInForce, o!("version" => version));
         }
         Delta::Leader => {
             let view = node.view.borrow();
@@ -141,18 +217,16 @@
             let fields = o!("leader" => name.unwrap_or_default(), "revision" => revision);
             event::log(&node.log, Event::LeaderSeen, fields);
         }
-        Delta::Unreadable { key, reason } => {
-            let fields = o!("key" => key.clone(), "reason" => reason.clone());
-            event::log(&node.log, Event::ItemUnreadable, fields);
-        }
+        Delta::Unreadable { key, reason } => unreadable(node, key, reason),
         Delta::Wave(wave) => {
             event::log(&node.log, Event::WaveSeen, o!("wave" => *wave));
         }
-        Delta::Cancelled(_)
-        | Delta::Endpoint(_)
-        | Delta::EndpointGone(_)
-        | Delta::Job(_)
-        | Delta::JobGone(_)
-        | Delta::Progress => {}
+        Delta::Cancelled(_) | Delta::State => {}
     }
 }
+
+/// Logs an item that can't be read.
+pub fn unreadable<P>(node: &Node<P>, key: &str, reason: &str) {
+    let fields = o!("key" => key.to_owned(), "reason" => reason.to_owned());
+    event::log(&node.log, Event::ItemUnreadable, fields);
+}
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -1,15 +1,15 @@
-//! What the process knows of the store: a copy that a watch keeps up to date.
+//! What every process knows of the store: a copy that watches keep up to date.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
 use rhubarbrill_core::job::scheduler::Wave;
-use rhubarbrill_core::job::{Configuration, Progress, Record, Report, State, Submission};
+use rhubarbrill_core::job::{Configuration, State};
 use rhubarbrill_core::time::Instant;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::edge::{Change, Fact};
+use crate::edge::{Change, Changes, Fact, Section};
 use crate::key::{self, Key};
 
 /// The leader's record.
@@ -28,21 +28,11 @@
     pub number: u64,
 }
 
-/// The record of a wave.
+/// The record of how many jobs wait in each queue.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct WaveRecord {
-    /// Hosts that have had their maintenance.
-    pub done: BTreeSet<String>,
-    /// Whether the wave was reported as completed.
-    pub completed: bool,
-}
-
-/// The record of orders for hosts, written before each order.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Orders {
-    /// Hosts that the leader gave orders to lately, with the age of the last order when the
-    /// record was written, in milliseconds.
-    pub hosts: BTreeMap<String, u64>,
+pub struct Pending {
+    /// Accepted jobs of which no task has started, by the queue's name.
+    pub queues: BTreeMap<String, usize>,
 }
 
 /// A value with the store revision of its last change.
@@ -54,49 +44,15 @@
     pub revision: u64,
 }
 
-/// What is known of one job.
-#[derive(Clone, Debug, Default)]
-pub struct Job {
-    /// The accepted job; nothing if it was refused or isn't known.
-    pub record: Option<Versioned<Rc<Record>>>,
-    /// How far it is.
-    pub progress: Option<Versioned<Progress>>,
-    /// Whether a caller cancelled it.
-    pub cancelled: bool,
-}
-
-impl Job {
-    /// Returns the state that callers are shown.
-    pub fn state(&self) -> State {
-        let state = self
-            .progress
-            .as_ref()
-            .map_or(State::Queued, |progress| progress.value.state);
-        if self.cancelled && !state.is_final() {
-            State::Cancelled
-        } else {
-            state
-        }
-    }
-}
-
 /// What a change means for the process.
 #[derive(Clone, Debug)]
 pub enum Delta {
     /// A newer configuration.
     Configuration,
-    /// An endpoint was registered or reported something new.
-    Endpoint(String),
-    /// An endpoint's registration is gone.
-    EndpointGone(String),
-    /// A job was accepted.
-    Job(String),
-    /// A job's progress has changed.
-    Progress,
+    /// A job's state has changed, or is no longer kept.
+    State,
     /// A job was cancelled.
     Cancelled(String),
-    /// A job left the store.
-    JobGone(String),
     /// A wave was asked for.
     Wave(u64),
     /// The leader has changed.
@@ -110,68 +66,99 @@
     },
 }
 
+/// How far a section was followed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reach {
+    as_of: u64,
+    heard_at: Option<Instant>,
+}
+
 /// The copy of the store.
 #[derive(Debug, Default)]
 pub struct View {
-    /// Store revision up to which changes were seen.
-    pub as_of: u64,
-    /// When the store last answered, and nothing before is missing.
-    pub heard_at: Option<Instant>,
     /// The configuration in force.
     pub configuration: Option<Rc<Configuration>>,
-    /// The endpoints' registrations.
-    pub endpoints: BTreeMap<String, Report>,
-    /// The jobs.
-    pub jobs: HashMap<String, Job>,
     /// The leader.
     pub leader: Option<Versioned<Leader>>,
     /// The count of terms.
     pub term: Option<Versioned<Count>>,
-    /// The hosts that were given orders lately.
-    pub orders: Orders,
+    /// How many jobs wait in each queue.
+    pub pending: Pending,
     /// The waves.
     pub waves: BTreeMap<u64, Wave>,
-    /// What is recorded of the waves.
-    pub wave_records: BTreeMap<u64, Versioned<WaveRecord>>,
-    revisions: HashMap<String, u64>,
-    registered: HashMap<String, String>,
+    operators: Reach,
+    shared: Reach,
+    states: HashMap<String, State>,
+    cancelled: HashSet<String>,
+    /// Jobs that this process accepted and whose state it hasn't read yet, with the store
+    /// revision of each.
+    accepted: HashMap<String, u64>,
 }
 
 impl View {
-    /// Takes in changes, or items that were read, and returns what they mean.
-    pub fn apply(&mut self, changes: Vec<Change>) -> Vec<Delta> {
+    /// Returns when the store last answered about everything, and nothing before is missing.
+    pub fn heard_at(&self) -> Option<Instant> {
+        Some(self.operators.heard_at?.min(self.shared.heard_at?))
+    }
+
+    /// Returns the store revision up to which the shared records were seen.
+    pub const fn as_of(&self) -> u64 {
+        self.shared.as_of
+    }
+
+    /// Returns the state that callers are shown of a job, if it is known.
+    pub fn state(&self, id: &str) -> Option<State> {
+        let state = self.states.get(id).copied();
+        let state = state.or_else(|| self.accepted.get(id).map(|_| State::Queued));
+        if state.is_some_and(State::is_final) || !self.cancelled.contains(id) {
+            return state;
+        }
+        Some(State::Cancelled)
+    }
+
+    /// Returns whether a caller cancelled a job that isn't over.
+    pub fn is_cancelled(&self, id: &str) -> bool {
+        self.cancelled.contains(id)
+    }
+
+    /// Returns the jobs that are over and still kept.
+    pub fn finished(&self) -> impl Iterator<Item = &str> {
+        let finished = self.states.iter().filter(|(_, state)| state.is_final());
+        finished.map(|(id, _)| id.as_str())
+    }
+
+    /// Notes that this process accepted a job.
+    pub fn note_accepted(&mut self, id: &str, revision: u64) {
+        if !self.states.contains_key(id) {
+            self.accepted.insert(id.to_owned(), revision);
+        }
+    }
+
+    /// Returns the store revision of a job that this process accepted lately.
+    pub fn accepted_at(&self, id: &str) -> Option<u64> {
+        self.accepted.get(id).copied()
+    }
+
+    /// Takes in the news of a section and returns what they mean.
+    pub fn apply(
+        &mut self,
+        now: Instant,
+        section: Section,
+        changes: Changes,
+    ) -> Vec<Delta> {
+        let reach = match section {
+            Section::Operators => &mut self.operators,
+            Section::Own(_) | Section::Registrations => &mut self.shared,
+        };
+        reach.as_of = reach.as_of.max(changes.as_of);
+        reach.heard_at = Some(now);
         let mut deltas = Vec::new();
-        for change in changes {
-            let known = self.revisions.get(&change.key).copied().unwrap_or(0);
-            if change.revision <= known {
-                continue;
-            }
-            if change.fact.is_some() {
-                self.revisions.insert(change.key.clone(), change.revision);
-            } else {
-                self.revisions.remove(&change.key);
-            }
+        for change in changes.changes {
             self.apply_one(change, &mut deltas);
         }
         deltas
     }
 
-    /// Returns the changes that remove what a whole listing no longer has.
-    ///
-    /// `listed` are the keys of the listing, and `as_of` the revision of its first page.
-    pub fn missing(&self, listed: &BTreeSet<String>, as_of: u64) -> Vec<Change> {
-        self.revisions
-            .iter()
-            .filter(|(key, revision)| **revision <= as_of && !listed.contains(*key))
-            .map(|(key, revision)| Change {
-                key: key.clone(),
-                // A removal is newer than what it removes.
-                revision: as_of.max(revision + 1),
-                fact: None,
-            })
-            .collect()
-    }
-
     fn apply_one(&mut self, change: Change, deltas: &mut Vec<Delta>) {
         let Change {
             key,
@@ -180,10 +167,8 @@
         } = change;
         match fact {
             None => self.remove(&key, deltas),
-            Some(Fact::Foreign) => {}
+            Some(Fact::Foreign | Fact::Endpoint(_)) => {}
             Some(Fact::Unreadable(reason)) => {
-                // An entry that can't be read names no endpoint to use.
-                self.remove(&key, deltas);
                 deltas.push(Delta::Unreadable { key, reason });
             }
             Some(Fact::Configuration(configuration)) => {
@@ -196,12 +181,6 @@
                     deltas.push(Delta::Configuration);
                 }
             }
-            Some(Fact::Endpoint(report)) => {
-                let id = report.id.clone();
-                self.registered.insert(key, id.clone());
-                self.endpoints.insert(id.clone(), *report);
-                deltas.push(Delta::Endpoint(id));
-            }
             Some(Fact::Wave(wave)) => {
                 deltas.push(Delta::Wave(wave.number));
                 self.waves.insert(wave.number, wave);
@@ -215,25 +194,24 @@
     }
 
     fn remove(&mut self, key: &str, deltas: &mut Vec<Delta>) {
-        if let Some(id) = self.registered.remove(key) {
-            self.endpoints.remove(&id);
-            deltas.push(Delta::EndpointGone(id));
-            return;
-        }
         match key::parse(key) {
             Some(Key::Leader) => {
                 self.leader = None;
                 deltas.push(Delta::Leader);
             }
-            Some(Key::Job(id)) => {
-                self.jobs.remove(&id);
-                deltas.push(Delta::JobGone(id));
+            Some(Key::State(id)) => {
+                self.states.remove(&id);
+                deltas.push(Delta::State);
+            }
+            Some(Key::Cancellation(id)) => {
+                self.cancelled.remove(&id);
             }
             Some(
-                Key::Term
+                Key::Job(_)
                 | Key::Orders
+                | Key::Pending
                 | Key::Progress(_)
-                | Key::Cancellation(_)
+                | Key::Term
                 | Key::Wave(_),
             )
             | None => {}
@@ -260,44 +238,33 @@
                 Ok(value) => self.term = Some(Versioned { value, revision }),
                 Err(reason) => return Some(reason),
             },
-            Key::Orders => match decode(value) {
-                Ok(value) => self.orders = value,
-                Err(reason) => return Some(reason),
-            },
-            Key::Job(id) => match decode(value) {
-                Ok(Submission::Accepted(record)) => {
-                    let value = Rc::from(record);
-                    self.jobs.entry(id.clone()).or_default().record =
-                        Some(Versioned { value, revision });
-                    deltas.push(Delta::Job(id));
-                }
-                Ok(Submission::Refused) => {}
+            Key::Pending => match decode(value) {
+                Ok(value) => self.pending = value,
                 Err(reason) => return Some(reason),
             },
-            Key::Progress(id) => match decode(value) {
-                Ok(value) => {
-                    self.jobs.entry(id).or_default().progress =
-                        Some(Versioned { value, revision });
-                    deltas.push(Delta::Progress);
+            Key::State(id) => match decode(value) {
+                Ok(state) => {
+                    self.accepted.remove(&id);
+                    self.states.insert(id, state);
+                    deltas.push(Delta::State);
                 }
                 Err(reason) => return Some(reason),
             },
             Key::Cancellation(id) => {
-                self.jobs.entry(id.clone()).or_default().cancelled = true;
+                self.cancelled.insert(id.clone());
                 deltas.push(Delta::Cancelled(id));
             }
-            Key::Wave(number) => match decode(value) {
-                Ok(value) => {
-                    self.wave_records
-                        .insert(number, Versioned { value, revision });
-                }
-                Err(reason) => return Some(reason),
-            },
+            Key::Job(_) | Key::Orders | Key::Progress(_) | Key::Wave(_) => {}
         }
         None
     }
 }
 
-fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, String> {
+/// Reads a record of the project.
+///
+/// # Errors
+///
+/// Fails with what can't be read.
+pub fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, String> {
     serde_json::from_slice(value).map_err(|error| error.to_string())
 }
--- a/crates/rhubarbrilld/tests/jobs.rs
+++ b/crates/rhubarbrilld/tests/jobs.rs
@@ -84,6 +84,45 @@
     );
 }
 
+#[test]
+fn of_a_finished_job_only_its_state_is_kept() {
+    let mut deployment = deploy(2, RUN_TIME);
+    deployment.submit(0);
+    deployment.until_completed(1);
+    for kept in ["job", "kept/progress"] {
+        let key = format!("rhubarbrill/{kept}/{}", id(0));
+        assert_eq!(deployment.users.value(&key), None, "{key}");
+    }
+    // A process that was not there knows it too, and it stays one job.
+    let started = Entry::start(&deployment.folder, &deployment.users, "entry-2");
+    deployment.entries.push(started);
+    for entry in &deployment.entries {
+        assert_eq!(entry.state(&id(0)), "completed");
+        let again = entry.call("POST", &id(0), "k", &two_steps(2));
+        assert_eq!(again.status, 200);
+    }
+    deployment.submit(1);
+    deployment.until_completed(2);
+    assert_eq!(deployment.users.ran().len(), 8, "each task ran once");
+}
+
+#[test]
+fn jobs_that_wait_are_counted_by_every_entry_host() {
+    let deployment = deploy(2, RUN_TIME);
+    // No endpoint has so much room.
+    let job = json!({"spec": "s", "steps": [{"count": 1, "cpu": 64_000}]});
+    for number in 0..3 {
+        let answer = deployment.entries[0].call("POST", &id(number), "k", &job);
+        assert_eq!(answer.status, 200);
+    }
+    for entry in &deployment.entries {
+        until("all three are pending", || {
+            entry.call("GET", "", "k", &Value::Null).body["pending"] == 3
+        });
+        assert_eq!(entry.state(&id(2)), "queued");
+    }
+}
+
 #[test]
 fn a_killed_leader_is_followed() {
     let mut deployment = deploy(3, Duration::from_millis(1_500));
--- a/crates/standin/src/users.rs
+++ b/crates/standin/src/users.rs
@@ -160,7 +160,7 @@
     /// Returns the name in the leader's record, if there is one.
     pub fn leader(&self) -> Option<String> {
         let state = self.shared.lock();
-        let value = state.value("rhubarbrill/leader")?;
+        let value = state.value("rhubarbrill/shared/leader")?;
         let record: Value = serde_json::from_slice(&value).ok()?;
         Some(record["name"].as_str()?.to_owned())
     }
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -133,10 +133,17 @@
         self.items.insert(key.to_owned(), item);
     }
 
-    /// Removes a key.
+    /// Removes a key at a revision of its own.
     pub(crate) fn remove(&mut self, key: &str) {
-        if self.items.remove(key).is_some() {
+        if self.items.contains_key(key) {
             self.revision += 1;
+            self.erase(key);
+        }
+    }
+
+    /// Removes a key at the present revision, which a transaction shares.
+    pub(crate) fn erase(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
             self.history.push((self.revision, key.to_owned(), None));
         }
     }
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -74,6 +74,7 @@
 }
 
 async fn watch(shared: &Shared, call: &Call) -> Reply {
+    let prefix = call.query("prefix");
     let after: u64 = call.query("after").parse().unwrap_or(0);
     let wait = Duration::from_millis(call.query("wait-ms").parse().unwrap_or(0));
     let end = Instant::now() + wait;
@@ -90,7 +91,7 @@
             let events: Vec<Value> = state
                 .history
                 .iter()
-                .filter(|(revision, ..)| *revision > after)
+                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
                 .map(|(revision, key, item)| match item {
                     Some(item) => State::shown(key, item),
                     None => json!({"key": key, "revision": revision, "deleted": true}),
@@ -141,7 +142,7 @@
         );
     }
     for key in removals.iter().filter_map(Value::as_str) {
-        state.remove(key);
+        state.erase(key);
     }
     (StatusCode::OK, json!({"revision": state.revision}))
 }
