Give nothing to endpoints whose hosts were taken away

Cause: an endpoint stays registered for three heartbeats after its host was moved or went into maintenance. Ruled out: the leader's processor (runs keep starting, 1,100 a second), the store (no failed writes before 18 s). Change: when an order for a host is accepted, the life of its endpoint is over at once, and its registration is passed over until a later life begins. The same when another endpoint answers at its address.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -183,6 +183,8 @@
     configuration: Configuration,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     by_id: BTreeMap<String, EndpointKey>,
+    /// Lives of endpoints that are over, although they may still be registered.
+    buried: BTreeMap<String, intake::Burial>,
     jobs: SlotMap<JobKey, Job>,
     by_job: BTreeMap<String, JobKey>,
     /// Jobs that are over and saved, whose late news is to be passed over.
@@ -215,6 +217,7 @@
             configuration: Configuration::default(),
             endpoints: SlotMap::with_key(),
             by_id: BTreeMap::new(),
+            buried: BTreeMap::new(),
             jobs: SlotMap::with_key(),
             by_job: BTreeMap::new(),
             ended: BTreeMap::new(),
--- a/crates/core/src/job/scheduler/answer.rs
+++ b/crates/core/src/job/scheduler/answer.rs
@@ -329,7 +329,9 @@
                     });
                 }
             }
-            Settled::Replaced => self.bury(now, key, "another endpoint answers there"),
+            Settled::Replaced => {
+                self.end_life(now, key, "another endpoint answers there");
+            }
             Settled::NotSent => {}
         }
     }
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -76,6 +76,8 @@
     pub(super) list: BTreeMap<String, Host>,
     /// Orders that the list may not show yet.
     pub(super) ordered: BTreeMap<String, Ordered>,
+    /// The endpoint that each ordered host had.
+    leaving: BTreeMap<String, EndpointKey>,
     /// Hosts that an earlier leader gave orders to, and when they may get the next.
     quiet_until: BTreeMap<String, Instant>,
 }
@@ -189,6 +191,25 @@
     /// Takes that an order for a host was refused or not sent.
     pub fn host_order_failed(&mut self, host: &str) {
         self.hosts.ordered.remove(host);
+        self.hosts.leaving.remove(host);
+    }
+
+    /// Takes that an order for a host was accepted: whatever ran on it is over, although its
+    /// endpoint stays registered for a while.
+    pub fn host_left(&mut self, now: Instant, host: &str) {
+        if let Some(key) = self.hosts.leaving.remove(host)
+            && self.endpoints.contains_key(key)
+        {
+            self.end_life(now, key, "its host was taken away");
+        }
+    }
+
+    /// Keeps new work off a host's endpoint, which an order is about to end.
+    pub(super) fn mark_leaving(&mut self, host: &str) {
+        if let Some(key) = self.endpoint_of(host) {
+            self.endpoints[key].emptying = true;
+            self.hosts.leaving.insert(host.to_owned(), key);
+        }
     }
 
     pub(super) fn resize_pools(&mut self, now: Instant, commands: &mut Vec<Command>) {
@@ -409,9 +430,7 @@
         if let Some(taker) = balances.get_mut(to) {
             taker.held += known.capacity.cpu;
         }
-        if let Some(key) = self.endpoint_of(host) {
-            self.endpoints[key].emptying = true;
-        }
+        self.mark_leaving(host);
         self.hosts.ordered.insert(
             host.to_owned(),
             Ordered {
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -13,6 +13,17 @@
 /// differ by more.
 const MAX_FRESH_AGE: Duration = Duration::from_secs(1);
 
+/// Time for which the end of an endpoint is remembered: its registration lapses within three
+/// heartbeats, and stays on while the store is away.
+const BURIAL_MEMORY: Duration = Duration::from_secs(30);
+
+/// The end of a life of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Burial {
+    born: u64,
+    at: Instant,
+}
+
 impl Scheduler {
     /// Takes a newer configuration.
     pub fn set_configuration(&mut self, configuration: Configuration) {
@@ -26,6 +37,9 @@
 
     /// Takes what an endpoint says of itself in the registry.
     pub fn set_endpoint(&mut self, now: Instant, report: Report) {
+        if self.is_buried(now, &report) {
+            return;
+        }
         if let Some(&key) = self.by_id.get(&report.id) {
             let known = &self.endpoints[key].report;
             if report.born < known.born {
@@ -74,13 +88,39 @@
             self.release(now, run, reason);
         }
         self.paces.forget(key);
-        if let Some(endpoint) = self.endpoints.remove(key)
-            && self.by_id.get(&endpoint.report.id) == Some(&key)
-        {
-            self.by_id.remove(&endpoint.report.id);
+        let Some(endpoint) = self.endpoints.remove(key) else {
+            return;
+        };
+        let id = &endpoint.report.id;
+        if self.by_id.get(id) == Some(&key) {
+            self.by_id.remove(id);
         }
     }
 
+    /// Forgets an endpoint whose life is over, although it may stay registered.
+    pub(super) fn end_life(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        reason: &'static str,
+    ) {
+        let report = &self.endpoints[key].report;
+        let burial = Burial {
+            born: report.born,
+            at: now,
+        };
+        self.buried.insert(report.id.clone(), burial);
+        self.bury(now, key, reason);
+    }
+
+    /// Returns whether a report is of a life of an endpoint that is over.
+    fn is_buried(&mut self, now: Instant, report: &Report) -> bool {
+        self.buried
+            .retain(|_, burial| now.saturating_since(burial.at) < BURIAL_MEMORY);
+        let burial = self.buried.get(&report.id);
+        burial.is_some_and(|burial| report.born <= burial.born)
+    }
+
     /// Takes an accepted job, with what the store knows of its progress.
     ///
     /// `version` is the store revision at which the job was accepted.
--- a/crates/core/src/job/scheduler/wave.rs
+++ b/crates/core/src/job/scheduler/wave.rs
@@ -102,6 +102,7 @@
             open.done.insert(host.to_owned());
         }
         self.waves.begun.insert(host.to_owned(), now);
+        self.host_left(now, host);
     }
 
     /// Takes note that an order for a host's maintenance had no effect.
@@ -220,9 +221,7 @@
         number: u64,
         commands: &mut Vec<Command>,
     ) {
-        if let Some(key) = self.endpoint_of(name) {
-            self.endpoints[key].emptying = true;
-        }
+        self.mark_leaving(name);
         self.waves.emptying.remove(name);
         if let Some(open) = self.waves.open.get_mut(&number) {
             open.ordered.insert(name.to_owned(), now);
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -478,3 +478,17 @@
     world.pass(5 * SECOND);
     assert!(world.seen.rejections <= 2 * 5, "{}", world.seen.rejections);
 }
+
+/// Load: a burst comes right after idle hosts left, while their endpoints are registered.
+#[test]
+fn nothing_is_given_to_endpoints_whose_hosts_were_taken_away() {
+    let mut world = world_with_spare(6, 1);
+    let moved = |world: &World| world.seen.moves.len();
+    while moved(&world) < 5 {
+        world.pass(SECOND / 10);
+    }
+    world.pass(SECOND / 2);
+    let id = world.submit("a", spec(vec![step(60, 2_000, 800)]));
+    assert!(world.pass_until_over(&id, 8 * SECOND));
+    assert_eq!(world.seen.starts_at_nothing, 0);
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -38,6 +38,9 @@
 /// Time that a host takes to move, or to be maintained.
 pub const MOVE_MS: u64 = 1_500;
 
+/// Time for which the registration of an endpoint outlives it.
+const REGISTRATION: Duration = Duration::from_millis(2_000);
+
 /// Step of the virtual clock.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -58,6 +61,8 @@
     pub paces: usize,
     /// Longest time for which a tail latency was above its target.
     pub longest_above_target: Duration,
+    /// Number of starts sent to endpoints that are gone.
+    pub starts_at_nothing: usize,
     /// Number of writes that met another revision.
     pub conflicts: usize,
     /// Number of holds.
@@ -92,6 +97,8 @@
     over: BTreeSet<String>,
     births: u64,
     ticks: u64,
+    /// Registrations of endpoints that are gone, and when they lapse.
+    lapsing: Vec<(Instant, String)>,
 }
 
 /// Returns the options that a daemon uses.
@@ -204,6 +211,7 @@
             over: BTreeSet::new(),
             births: 0,
             ticks: 0,
+            lapsing: Vec::new(),
         }
     }
 
@@ -400,6 +408,7 @@
         self.advance_endpoints();
         self.advance_hosts();
         self.answer_questions();
+        self.lapse_registrations();
         let wall = self.wall();
         let mut commands = self.scheduler.poll(self.now, wall, Authority::Certain);
         self.ticks += 1;
@@ -429,6 +438,16 @@
         }
     }
 
+    /// Lets registrations of endpoints that are gone lapse.
+    fn lapse_registrations(&mut self) {
+        let now = self.now;
+        let (due, lapsing) = self.lapsing.drain(..).partition(|(at, _)| *at <= now);
+        self.lapsing = lapsing;
+        for (_, id) in due {
+            self.scheduler.unlist_endpoint(now, &id);
+        }
+    }
+
     fn answer_questions(&mut self) {
         let Some(policy) = &mut self.policy else {
             return;
@@ -468,7 +487,7 @@
                 "{name} is taken away under a task that lasts"
             );
             assert!(endpoint.live.is_empty(), "{name} is taken away under a run");
-            self.scheduler.unlist_endpoint(self.now, &id);
+            self.lapsing.push((self.now + REGISTRATION, id));
         }
         let until = self.now + Duration::from_millis(span_ms);
         self.busy_hosts
@@ -523,6 +542,7 @@
                     .moves
                     .push((self.now, order.host.clone(), order.pool.clone()));
                 self.take_down(&order.host, &order.pool, HostState::Moving, MOVE_MS);
+                self.scheduler.host_left(self.now, &order.host);
             }
             Command::Maintain(Upkeep { host, wave }) => {
                 self.seen.maintained.push((self.now, host.clone()));
@@ -570,6 +590,7 @@
 
     fn order_start(&mut self, order: &Start) -> Settled {
         let Some(endpoint) = self.endpoints.get_mut(&order.target.id) else {
+            self.seen.starts_at_nothing += 1;
             return Settled::Unreachable;
         };
         match endpoint.link {
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -387,7 +387,7 @@
         Message::Removed(ids, done) => scheduler.removed(&ids, done),
         Message::Hosts(asked, hosts) => scheduler.set_hosts(asked, hosts),
         Message::Moved(host, outcome) => match outcome {
-            HostOrder::Accepted => {}
+            HostOrder::Accepted => scheduler.host_left(now, &host),
             HostOrder::Refused(_) => scheduler.host_order_failed(&host),
             HostOrder::Unknown => {}
         },
