Run as many hosts empty as the end of a wave asks for

Cause: a wave ran three hosts empty at a time, whatever its size and end. Ruled out: hosts without work (they go first, within two seconds); the bound on maintenance at once (rarely reached after that). Change: the hosts still at work are spread over the time left, a margin before the end kept; a wave's age is in its record, so that a new leader knows the end. Beside it, a round of placement passes over a task once a smaller one has found no room in its pool, and the order of jobs has a module of its own. Test: a wave over half of a pool with long tasks; with three at a time six of eight hosts are done in time.

--- a/crates/core/src/job/resource.rs
+++ b/crates/core/src/job/resource.rs
@@ -21,6 +21,13 @@
             && used.gpu + self.gpu <= capacity.gpu
     }
 
+    /// Returns whether this amount is no more than another in any respect.
+    pub const fn is_part_of(&self, other: &Self) -> bool {
+        self.cpu <= other.cpu
+            && self.memory_mb <= other.memory_mb
+            && self.gpu <= other.gpu
+    }
+
     /// Returns how many times this amount fits beside `used` within `capacity`, up to `most`.
     pub fn count_that_fits(&self, used: &Self, capacity: &Self, most: u64) -> u64 {
         let count = |one: u64, used: u64, capacity: u64| {
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -29,6 +29,7 @@
 mod permission;
 mod place;
 mod preempt;
+mod rank;
 mod retain;
 mod save;
 mod share;
@@ -40,7 +41,7 @@
 pub use note::Note;
 pub use permission::{Permit, Question, Ruling, StepRef};
 pub use save::{Ending, Save};
-pub use wave::{Upkeep, Wave, WaveState};
+pub use wave::{Upkeep, Wave, WaveProgress, WaveState};
 
 /// Bounds that the deployment gives.
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use super::{Command, Note, Scheduler, place};
+use super::{Command, Note, Scheduler, rank};
 use crate::job::endpoint::Contact;
 use crate::job::{EndpointKey, Record, Resource};
 use crate::time::Instant;
@@ -290,7 +290,7 @@
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let pool = self.pool_of(&job.record).to_owned();
             let entry = outstanding.entry(pool).or_default();
-            let late = place::is_late(job, now);
+            let late = rank::is_late(job, now);
             for (&index, occurrence) in &job.occurrences {
                 for (place, step) in job.record.spec.steps.iter().enumerate() {
                     let group = &occurrence.groups[place];
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Note, Scheduler, place};
+use super::{Note, Scheduler, rank};
 use crate::job::endpoint::Endpoint;
 use crate::job::live::{Job, Terms};
 use crate::job::{Configuration, EndpointKey, Progress, Record, Report, State};
@@ -150,7 +150,7 @@
         let mut job = Job::new(id.to_owned(), record, queue, progress, came);
         job.progress_version = progress_version;
         job.over_share = !self.is_within_share(now, &job.record);
-        if version >= self.term.since && !job.over_share && !place::is_late(&job, now) {
+        if version >= self.term.since && !job.over_share && !rank::is_late(&job, now) {
             let pool = self.pool_of(&job.record).to_owned();
             self.arrivals.job_came(now, &pool, &job.record);
         }
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -5,94 +5,107 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::time::Duration;
 
+use super::rank::{Class, Rank};
 use super::{Command, Note, Scheduler, Start};
-use crate::job::live::Job;
 use crate::job::run::{Phase, Run};
 use crate::job::{EndpointKey, JobKey, Name, Resource, RunKey, Step, TaskRef};
 use crate::time::Instant;
 
-/// Place of a job in the order of starts; the lowest goes first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) struct Rank {
-    pub(super) class: Class,
-    pub(super) priority: u32,
-    /// When its remaining work must start to be in time.
-    pub(super) latest_start: Instant,
-}
+/// What is left of each pool in one round of placement.
+type Open = BTreeMap<String, Room>;
 
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) enum Class {
-    /// Tasks that last serve their users only while they run.
-    Lasting,
-    /// Can still be in time.
-    InTime,
-    /// Its workspace has submitted more than its share.
-    OverShare,
-    /// Is late whatever is done.
-    Late,
+/// What is left of a pool; within a round it only shrinks.
+#[derive(Debug, Default)]
+struct Room {
+    /// The endpoints that take work.
+    endpoints: Vec<EndpointKey>,
+    /// Amounts that fit on none of them.
+    too_large: Vec<Resource>,
 }
 
-/// The endpoints of each pool that take work.
-type Open = BTreeMap<String, Vec<EndpointKey>>;
+impl Room {
+    /// Returns whether an amount certainly fits on no endpoint.
+    fn is_too_small(&self, amount: &Resource) -> bool {
+        self.too_large.iter().any(|known| known.is_part_of(amount))
+    }
+}
 
 impl Scheduler {
     pub(super) fn place(&mut self, now: Instant) {
-        let open = self.open_endpoints(now);
+        let mut open = self.open_endpoints(now);
         self.unplaced.clear();
         for (rank, key) in self.ranked_jobs(now) {
-            self.place_job(now, key, rank, &open);
+            self.place_job(now, key, rank, &mut open);
         }
     }
 
-    /// Returns the jobs under way in the order of their starts.
-    pub(super) fn ranked_jobs(&self, now: Instant) -> Vec<(Rank, JobKey)> {
-        let mut jobs: Vec<(Rank, JobKey)> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| !job.state.is_final())
-            .map(|(key, job)| (rank(job, now), key))
-            .collect();
-        jobs.sort_unstable();
-        jobs
-    }
-
     fn open_endpoints(&self, now: Instant) -> Open {
         let mut open = Open::new();
         for (key, endpoint) in &self.endpoints {
             if endpoint.takes_work(now) {
-                let pool = open.entry(endpoint.report.pool.clone()).or_default();
-                pool.push(key);
+                let room = open.entry(endpoint.report.pool.clone()).or_default();
+                room.endpoints.push(key);
             }
         }
         open
     }
 
-    fn place_job(&mut self, now: Instant, key: JobKey, rank: Rank, open: &Open) {
+    fn place_job(&mut self, now: Instant, key: JobKey, rank: Rank, open: &mut Open) {
         let pool = self.pool_of(&self.jobs[key].record).to_owned();
-        let endpoints = open.get(&pool).map_or(&[][..], Vec::as_slice);
+        let room = open.entry(pool.clone()).or_default();
         for (occurrence, step) in self.ready_steps(key) {
             let waiting = self.waiting_tasks(now, key, occurrence, step);
             if waiting.is_empty() {
                 continue;
             }
             if self.jobs[key].record.spec.steps[step as usize].gang {
-                self.place_gang(now, &waiting, endpoints);
+                self.place_gang(now, &waiting, &room.endpoints);
                 continue;
             }
-            for (place, &task) in waiting.iter().enumerate() {
-                let Some(endpoint) = self.choose(now, task, endpoints) else {
-                    if matches!(rank.class, Class::InTime | Class::Lasting) {
-                        self.note_unplaced(&pool, task, waiting.len() - place);
-                    }
-                    self.preempt(now, rank, &waiting[place..], endpoints);
-                    break;
-                };
-                let number = self.next_number(task);
-                self.plan(now, task, endpoint, number);
+            let placed = self.place_step(now, &waiting, room);
+            let left = &waiting[placed..];
+            if let Some(&first) = left.first() {
+                if matches!(rank.class, Class::InTime | Class::Lasting) {
+                    self.note_unplaced(&pool, first, left.len());
+                }
+                self.preempt(now, rank, left, &room.endpoints);
+            }
+        }
+    }
+
+    /// Places tasks of one step until one fits nowhere; returns how many were placed.
+    fn place_step(
+        &mut self,
+        now: Instant,
+        waiting: &[TaskRef],
+        room: &mut Room,
+    ) -> usize {
+        for (place, &task) in waiting.iter().enumerate() {
+            let reserved = self.step(task).reserved();
+            if room.is_too_small(&reserved) {
+                return place;
             }
+            let Some(endpoint) = self.choose(now, task, &room.endpoints) else {
+                if self.fits_anywhere_with_room(task) {
+                    room.too_large.push(reserved);
+                }
+                return place;
+            };
+            let number = self.next_number(task);
+            self.plan(now, task, endpoint, number);
         }
+        waiting.len()
+    }
+
+    /// Returns whether nothing but want of room keeps a task off an endpoint of its pool.
+    fn fits_anywhere_with_room(&self, task: TaskRef) -> bool {
+        let step = self.step(task);
+        step.requires.is_empty()
+            && step.max_per_endpoint == 0
+            && !step.allow_duplicates
+            && self.advice_of(task.job).is_none()
+            && self.is_within_limit(task, &step.demand)
     }
 
     /// Notes that tasks of a step fit nowhere, if it is for want of room.
@@ -408,47 +421,3 @@
         }
     }
 }
-
-fn rank(job: &Job, now: Instant) -> Rank {
-    let lasting = job.record.spec.steps.iter().any(|step| step.long_running);
-    let remaining = remaining_chain_ms(job);
-    let due_at = job.occurrences.values().next().and_then(|open| open.due_at);
-    let deadline = due_at.unwrap_or(job.came) + job.terms.allowed;
-    let latest_start = deadline.saturating_sub(Duration::from_millis(remaining));
-    let class = if lasting {
-        Class::Lasting
-    } else if latest_start < now {
-        Class::Late
-    } else if job.over_share {
-        Class::OverShare
-    } else {
-        Class::InTime
-    };
-    Rank {
-        class,
-        priority: job.terms.priority,
-        latest_start,
-    }
-}
-
-/// Returns whether a job is late whatever is done.
-pub(super) fn is_late(job: &Job, now: Instant) -> bool {
-    rank(job, now).class == Class::Late
-}
-
-/// Returns how long the longest chain of steps that aren't done takes, in milliseconds.
-pub(super) fn remaining_chain_ms(job: &Job) -> u64 {
-    let Some(occurrence) = job.occurrences.values().next() else {
-        return 0;
-    };
-    let mut ends: Vec<u64> = Vec::with_capacity(job.record.spec.steps.len());
-    for (step, group) in job.record.spec.steps.iter().zip(&occurrence.groups) {
-        let earlier = step
-            .after
-            .iter()
-            .filter_map(|&step| ends.get(step as usize));
-        let start = earlier.copied().max().unwrap_or(0);
-        ends.push(start + if group.is_done() { 0 } else { step.estimate_ms });
-    }
-    ends.into_iter().max().unwrap_or(0)
-}
--- a/crates/core/src/job/scheduler/preempt.rs
+++ b/crates/core/src/job/scheduler/preempt.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::place::{Class, Rank};
+use super::rank::{Class, Rank};
 use super::{Note, Scheduler};
 use crate::job::run::Phase;
 use crate::job::{EndpointKey, JobKey, Resource, RunKey, TaskRef};
--- /dev/null
+++ b/crates/core/src/job/scheduler/rank.rs
@@ -0,0 +1,88 @@
+//! Who goes first: the order of jobs in which their tasks start.
+
+use std::time::Duration;
+
+use super::Scheduler;
+use crate::job::JobKey;
+use crate::job::live::Job;
+use crate::time::Instant;
+
+/// Place of a job in the order of starts; the lowest goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Rank {
+    pub(super) class: Class,
+    pub(super) priority: u32,
+    /// When its remaining work must start to be in time.
+    pub(super) latest_start: Instant,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Class {
+    /// Tasks that last serve their users only while they run.
+    Lasting,
+    /// Can still be in time.
+    InTime,
+    /// Its workspace has submitted more than its share.
+    OverShare,
+    /// Is late whatever is done.
+    Late,
+}
+
+impl Scheduler {
+    /// Returns the jobs under way in the order of their starts.
+    pub(super) fn ranked_jobs(&self, now: Instant) -> Vec<(Rank, JobKey)> {
+        let mut jobs: Vec<(Rank, JobKey)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.state.is_final())
+            .map(|(key, job)| (rank(job, now), key))
+            .collect();
+        jobs.sort_unstable();
+        jobs
+    }
+}
+
+/// Returns whether a job is late whatever is done.
+pub(super) fn is_late(job: &Job, now: Instant) -> bool {
+    rank(job, now).class == Class::Late
+}
+
+fn rank(job: &Job, now: Instant) -> Rank {
+    let lasting = job.record.spec.steps.iter().any(|step| step.long_running);
+    let remaining = remaining_chain(job);
+    let due_at = job.occurrences.values().next().and_then(|open| open.due_at);
+    let deadline = due_at.unwrap_or(job.came) + job.terms.allowed;
+    let latest_start = deadline.saturating_sub(remaining);
+    let class = if lasting {
+        Class::Lasting
+    } else if latest_start < now {
+        Class::Late
+    } else if job.over_share {
+        Class::OverShare
+    } else {
+        Class::InTime
+    };
+    Rank {
+        class,
+        priority: job.terms.priority,
+        latest_start,
+    }
+}
+
+/// Returns how long the longest chain of steps that aren't done takes.
+fn remaining_chain(job: &Job) -> Duration {
+    let Some(occurrence) = job.occurrences.values().next() else {
+        return Duration::ZERO;
+    };
+    let mut ends: Vec<u64> = Vec::with_capacity(job.record.spec.steps.len());
+    for (step, group) in job.record.spec.steps.iter().zip(&occurrence.groups) {
+        let earlier = step
+            .after
+            .iter()
+            .filter_map(|&step| ends.get(step as usize));
+        let start = earlier.copied().max().unwrap_or(0);
+        let takes = if group.is_done() { 0 } else { step.estimate_ms };
+        ends.push(start + takes);
+    }
+    Duration::from_millis(ends.into_iter().max().unwrap_or(0))
+}
--- a/crates/core/src/job/scheduler/wave.rs
+++ b/crates/core/src/job/scheduler/wave.rs
@@ -14,8 +14,15 @@
 use crate::job::{EndpointKey, RunKey, TaskRef};
 use crate::time::Instant;
 
-/// Most hosts that are emptied at once, beyond those in maintenance.
-const MAX_EMPTYING: usize = 3;
+/// Fewest hosts that are emptied at once, beyond those in maintenance, while there is room.
+const MIN_EMPTYING: usize = 3;
+
+/// Time that a host takes to run empty: its tasks end, and those that last move one by one.
+const EMPTYING_TIME: Duration = Duration::from_millis(2_500);
+
+/// Time before the end of a wave by which the last host should begin to run empty, for
+/// maintenance itself and for a change of the leader.
+const WAVE_MARGIN: Duration = Duration::from_secs(5);
 
 /// Time after which an order without an effect is sent again.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -51,6 +58,15 @@
     pub wave: u64,
 }
 
+/// How far a wave is.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct WaveProgress {
+    /// Hosts that have begun, or had, their maintenance.
+    pub done: BTreeSet<String>,
+    /// Time since the wave was first seen.
+    pub age: Duration,
+}
+
 /// Waves under way.
 #[derive(Debug, Default)]
 pub(super) struct Waves {
@@ -70,18 +86,25 @@
     /// Orders without an answer yet.
     ordered: BTreeMap<String, Instant>,
     reported: bool,
+    /// When it is to be over.
+    ends_at: Instant,
+    /// When it was first seen.
+    since: Instant,
 }
 
 impl Scheduler {
-    /// Takes a wave that operators ask for, with the hosts that have had their maintenance.
-    pub fn add_wave(&mut self, wave: Wave, done: BTreeSet<String>) {
+    /// Takes a wave that operators ask for, with what earlier leaders did of it.
+    pub fn add_wave(&mut self, now: Instant, wave: Wave, progress: WaveProgress) {
         if self.waves.completed.contains(&wave.number)
             || self.waves.open.contains_key(&wave.number)
         {
             return;
         }
+        let since = now.saturating_sub(progress.age);
         let open = Open {
-            done,
+            done: progress.done,
+            ends_at: since + wave.duration,
+            since,
             ordered: BTreeMap::new(),
             reported: false,
             wave,
@@ -112,10 +135,13 @@
         }
     }
 
-    /// Returns the hosts of a wave that have begun, or had, their maintenance.
-    pub fn maintained_hosts(&self, wave: u64) -> BTreeSet<String> {
+    /// Returns how far a wave is.
+    pub fn wave_progress(&self, now: Instant, wave: u64) -> WaveProgress {
         let open = self.waves.open.get(&wave);
-        open.map(|open| open.done.clone()).unwrap_or_default()
+        open.map_or_else(WaveProgress::default, |open| WaveProgress {
+            done: open.done.clone(),
+            age: now.saturating_since(open.since),
+        })
     }
 
     /// Returns whether a host still has a wave's maintenance before it.
@@ -195,8 +221,10 @@
         for name in ready.iter().take(room) {
             self.order_maintenance(now, name, number, commands);
         }
-        let left = room.saturating_sub(ready.len()).min(MAX_EMPTYING);
-        self.empty_hosts(&busy, left);
+        let left = room.saturating_sub(ready.len());
+        let ends_at = self.waves.open[&number].ends_at;
+        let wanted = emptying_at_once(busy.len(), ends_at.saturating_since(now));
+        self.empty_hosts(&busy, left.min(wanted));
     }
 
     /// Returns whether maintenance of a host would end nothing.
@@ -327,3 +355,11 @@
         reached && matches!(run.phase, Phase::Running(_)) && run.percent >= 100
     }
 }
+
+/// Returns how many of `busy` hosts must run empty at once for all to be done in time.
+fn emptying_at_once(busy: usize, time_left: Duration) -> usize {
+    let usable = time_left.saturating_sub(WAVE_MARGIN).max(EMPTYING_TIME);
+    let rounds = usable.as_millis() / EMPTYING_TIME.as_millis();
+    let rounds = usize::try_from(rounds).unwrap_or(usize::MAX).max(1);
+    busy.div_ceil(rounds).max(MIN_EMPTYING)
+}
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use rhubarbrill_core::job::scheduler::{Rejection, Wave};
-use rhubarbrill_core::job::{Resource, State};
+use rhubarbrill_core::job::scheduler::{Rejection, Wave, WaveProgress};
+use rhubarbrill_core::job::{Resource, State, Step};
 use rhubarbrill_core::time::Instant;
 use rstest::rstest;
 
@@ -269,7 +269,7 @@
     let host = world.endpoints[&other].host.clone();
     world
         .scheduler
-        .add_wave(wave(vec![host], 1), Default::default());
+        .add_wave(world.now, wave(vec![host], 1), WaveProgress::default());
     world.pass(3 * SECOND);
     assert_eq!(
         world.places(&format!("{id}.0.0.1")),
@@ -290,7 +290,7 @@
     let host = world.endpoints[&place].host.clone();
     world
         .scheduler
-        .add_wave(wave(vec![host], 1), Default::default());
+        .add_wave(world.now, wave(vec![host], 1), WaveProgress::default());
     world.pass(20 * SECOND);
     assert_eq!(world.live(), 4, "all tasks are at work again");
     assert_eq!(
@@ -492,3 +492,28 @@
     assert!(world.pass_until_over(&id, 8 * SECOND));
     assert_eq!(world.seen.starts_at_nothing, 0);
 }
+
+/// Load: a wave over half of a pool in which every host is at work for long.
+#[test]
+fn a_wave_over_busy_hosts_is_done_in_time() {
+    let mut world = world(16);
+    let lasting = Step {
+        long_running: true,
+        max_unavailable: Some(2),
+        max_per_endpoint: 1,
+        ..step(8, 4_000, 0)
+    };
+    world.submit("a", spec(vec![lasting]));
+    for _ in 0..60 {
+        world.submit("a", spec(vec![step(16, 2_000, 4_000)]));
+    }
+    world.pass(SECOND);
+    let hosts: Vec<String> = world.hosts.keys().take(8).cloned().collect();
+    let mut whole = wave(hosts, 6);
+    whole.duration = 10 * SECOND;
+    let progress = WaveProgress::default();
+    world.scheduler.add_wave(world.now, whole, progress);
+    world.pass(10 * SECOND);
+    assert_eq!(world.seen.maintained.len(), 8);
+    assert!(world.seen.most_in_maintenance <= 6);
+}
--- a/crates/dispatch/src/lead/kept.rs
+++ b/crates/dispatch/src/lead/kept.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::Progress;
+use rhubarbrill_core::job::scheduler::WaveProgress;
 use serde::{Deserialize, Serialize};
 
 use crate::edge::{Change, Fact, Platform, Section};
@@ -22,6 +23,27 @@
     pub(super) done: BTreeSet<String>,
     /// Whether the wave was reported as completed.
     pub(super) completed: bool,
+    /// Age of the wave when the record was written, in milliseconds.
+    #[serde(default)]
+    age_ms: u64,
+}
+
+impl WaveRecord {
+    pub(super) fn new(progress: WaveProgress, completed: bool) -> Self {
+        Self {
+            done: progress.done,
+            completed,
+            age_ms: u64::try_from(progress.age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Returns how far the wave is, as far as the record tells.
+    pub(super) fn progress(&self) -> WaveProgress {
+        WaveProgress {
+            done: self.done.clone(),
+            age: Duration::from_millis(self.age_ms),
+        }
+    }
 }
 
 /// The record of orders for hosts, written before each order.
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -1,10 +1,9 @@
 //! The leader's writes to the store, each on condition that it still leads.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use rhubarbrill_core::job::scheduler::{Ending, Save, Wave, WaveState};
+use rhubarbrill_core::job::scheduler::{Ending, Save, Wave, WaveProgress, WaveState};
 use rhubarbrill_event::Event;
 use serde::Serialize;
 use slog::o;
@@ -110,14 +109,12 @@
     shared: &Rc<Shared<P>>,
     wave: Wave,
     state: WaveState,
-    done: BTreeSet<String>,
+    progress: WaveProgress,
 ) {
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
-        let record = WaveRecord {
-            done,
-            completed: state == WaveState::Completed,
-        };
+        let completed = state == WaveState::Completed;
+        let record = WaveRecord::new(progress, completed);
         let mut writes = vec![Write::WaveState(wave.number, state)];
         writes.extend(own(&shared, key::wave(wave.number), &record));
         let written = commit(&shared, writes).await;
@@ -136,12 +133,12 @@
 pub(super) fn record_wave<P: Platform>(
     shared: &Rc<Shared<P>>,
     wave: u64,
-    done: BTreeSet<String>,
+    progress: WaveProgress,
     completed: bool,
 ) {
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
-        let record = WaveRecord { done, completed };
+        let record = WaveRecord::new(progress, completed);
         let writes = own(&shared, key::wave(wave), &record).into_iter().collect();
         if !commit(&shared, writes).await {
             let fields = o!("reason" => "a wave's record wasn't written", "wave" => wave);
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -1,12 +1,11 @@
 //! A term of leadership: news and answers go to the scheduler, its commands go out.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
     Authority, Command, Ending, Held, Host, Options, Pace, Question, Ruling, Save,
-    Scheduler, Settled, Upkeep, Wave, WaveState,
+    Scheduler, Settled, Upkeep, Wave, WaveProgress, WaveState,
 };
 use rhubarbrill_core::job::{EndpointKey, RunKey};
 use rhubarbrill_core::time::Instant;
@@ -325,8 +324,8 @@
     for (number, wave) in &view.waves {
         match kept.waves.get(number) {
             Some(record) if record.completed => scheduler.complete_wave(*number),
-            Some(record) => scheduler.add_wave(wave.clone(), record.done.clone()),
-            None => scheduler.add_wave(wave.clone(), BTreeSet::new()),
+            Some(record) => scheduler.add_wave(now, wave.clone(), record.progress()),
+            None => scheduler.add_wave(now, wave.clone(), WaveProgress::default()),
         }
     }
     scheduler
@@ -348,7 +347,8 @@
             Delta::Cancelled(id) => scheduler.cancel_job(clock::now(), id),
             Delta::Wave(number) => {
                 if let Some(wave) = view.waves.get(number) {
-                    scheduler.add_wave(wave.clone(), BTreeSet::new());
+                    let progress = WaveProgress::default();
+                    scheduler.add_wave(clock::now(), wave.clone(), progress);
                 }
             }
             Delta::Leader => {
@@ -394,7 +394,7 @@
         Message::Maintained(order, outcome) => match outcome {
             HostOrder::Accepted => {
                 scheduler.maintenance_begun(now, &order.host, order.wave);
-                let done = scheduler.maintained_hosts(order.wave);
+                let done = scheduler.wave_progress(now, order.wave);
                 save::record_wave(shared, order.wave, done, false);
             }
             HostOrder::Refused(_) => {
@@ -426,7 +426,7 @@
         Command::Move(order) => hosts::order(shared, Order::Move(order)),
         Command::Maintain(order) => hosts::order(shared, Order::Maintain(order)),
         Command::ReportWave(wave, state) => {
-            let done = scheduler.maintained_hosts(wave.number);
+            let done = scheduler.wave_progress(clock::now(), wave.number);
             save::report_wave(shared, wave, state, done);
         }
     }
