Give hosts first to the pool that holds the least of its need

Cause: when more is asked than hosts are left, the pool that was short of the most cores took them all. Change: the pool with the lowest share of its need gets the next host. Test: two pools short at once, one by far the most; without the change the small one gets nothing.

--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -164,6 +164,16 @@
     held: u64,
 }
 
+impl Balance {
+    /// Returns how much of its need a pool holds, in thousandths.
+    const fn cover_permille(self) -> u64 {
+        if self.needed == 0 {
+            return u64::MAX;
+        }
+        self.held * 1_000 / self.needed
+    }
+}
+
 impl Scheduler {
     /// Takes the platform's list of hosts, read at `asked`.
     pub fn set_hosts(&mut self, asked: Instant, hosts: Vec<Host>) {
@@ -325,7 +335,7 @@
             let short = balances
                 .iter()
                 .filter(|(_, balance)| balance.needed > balance.held)
-                .max_by_key(|(_, balance)| balance.needed - balance.held);
+                .min_by_key(|(_, balance)| balance.cover_permille());
             let Some((pool, balance)) = short else {
                 return;
             };
--- a/crates/core/tests/job_order.rs
+++ b/crates/core/tests/job_order.rs
@@ -174,3 +174,20 @@
         "{began}, due {start}"
     );
 }
+
+/// Load: two pools are short at once, one by far the most, and few hosts are left.
+#[test]
+fn the_pool_that_holds_least_of_its_need_gets_the_next_host() {
+    let mut world = World::new(job_support::configuration_with_spare(&["a", "b"]));
+    world.add_hosts("a", 1);
+    world.add_hosts("b", 1);
+    world.add_hosts("spare", 12);
+    world.pass(SECOND / 5);
+    // Twenty hosts' worth, and two hosts' worth.
+    world.submit("a", spec(vec![step(320, 2_000, 4_000)]));
+    world.submit("b", spec(vec![step(32, 2_000, 4_000)]));
+    world.pass(SECOND / 2);
+    let to_b = world.seen.moves.iter().filter(|(_, _, pool)| pool == "b");
+    assert_eq!(to_b.count(), 1);
+    assert_eq!(world.seen.moves.len(), 12);
+}
