Add a randomized fault soak, and keep new lives of endpoints free of old holds

Change: tests/soak runs three entry hosts as processes on the stand-in platform, with four endpoints behind links, and injects up to three faults at a time by seed; promises are checked from what callers and endpoints see. Links can be silent in one direction and reset; endpoints can begin new lives, and their clocks drift. Test ports lie below those of outgoing connections. Now nothing runs on a new life while such a hold may be on its way. Ruled out: a client that sends a call again by itself (it doesn't). Also: the order that begins a host's maintenance no longer has the platform's name.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -41,7 +41,7 @@
 pub use note::Note;
 pub use permission::{Permit, Question, Ruling, StepRef};
 pub use save::{Ending, Save};
-pub use wave::{Upkeep, Wave, WaveProgress, WaveState};
+pub use wave::{Maintenance, Wave, WaveProgress, WaveState};
 
 /// Bounds that the deployment gives.
 #[derive(Clone, Copy, Debug)]
@@ -170,7 +170,7 @@
     /// Stop a run.
     Stop(Stop),
     /// Begin the maintenance of a host.
-    Maintain(Upkeep),
+    Maintain(Maintenance),
     /// Say in the store how far a wave is.
     ReportWave(Wave, WaveState),
 }
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -13,6 +13,11 @@
 /// differ by more.
 const MAX_FRESH_AGE: Duration = Duration::from_secs(1);
 
+/// Longest time for which a hold may wait at an endpoint or be on its way. One that was meant for
+/// an earlier life and reaches the next lets it forget ends that nobody has seen, so nothing
+/// runs there until then.
+const HOLD_BOUND: Duration = Duration::from_millis(2_300);
+
 /// Time for which the end of an endpoint is remembered: its registration lapses within three
 /// heartbeats, and stays on while the store is away.
 const BURIAL_MEMORY: Duration = Duration::from_secs(30);
@@ -40,6 +45,7 @@
         if self.is_buried(now, &report) {
             return;
         }
+        let mut usable_from = now;
         if let Some(&key) = self.by_id.get(&report.id) {
             let known = &self.endpoints[key].report;
             if report.born < known.born {
@@ -51,6 +57,9 @@
                 endpoint.unlisted_since = None;
                 return;
             }
+            if let Some(sent) = self.endpoints[key].hold_sent {
+                usable_from = sent + HOLD_BOUND;
+            }
             self.bury(now, key, "another life began");
         }
         self.notes.push(Note::EndpointUp {
@@ -60,7 +69,9 @@
         });
         self.arrivals.host_came(&report.pool);
         let id = report.id.clone();
-        let key = self.endpoints.insert(Endpoint::new(report, now));
+        let mut endpoint = Endpoint::new(report, now);
+        endpoint.shunned_until = endpoint.shunned_until.max(usable_from);
+        let key = self.endpoints.insert(endpoint);
         self.by_id.insert(id, key);
     }
 
--- a/crates/core/src/job/scheduler/wave.rs
+++ b/crates/core/src/job/scheduler/wave.rs
@@ -51,7 +51,7 @@
 
 /// An order to begin a host's maintenance.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Upkeep {
+pub struct Maintenance {
     /// Name of the host.
     pub host: String,
     /// Number of the wave.
@@ -258,7 +258,7 @@
             host: name.to_owned(),
             wave: number,
         });
-        commands.push(Command::Maintain(Upkeep {
+        commands.push(Command::Maintain(Maintenance {
             host: name.to_owned(),
             wave: number,
         }));
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use rhubarbrill_core::job::scheduler::{Rejection, Wave, WaveProgress};
+use rhubarbrill_core::job::scheduler::{
+    Authority, Command, Ending, Held, Rejection, Reply, Wave, WaveProgress,
+};
 use rhubarbrill_core::job::{Resource, State, Step};
 use rhubarbrill_core::time::Instant;
 use rstest::rstest;
@@ -517,3 +519,54 @@
     assert_eq!(world.seen.maintained.len(), 8);
     assert!(world.seen.most_in_maintenance <= 6);
 }
+
+/// A hold that waits at an endpoint may reach its next life, and lets that forget ends.
+#[test]
+fn nothing_runs_on_a_new_life_while_a_hold_for_the_last_one_is_on_its_way() {
+    let mut world = world(1);
+    world.submit("a", spec(vec![step(1, 2_000, 20_000)]));
+    world.pass(SECOND);
+    let mut now = world.now;
+    let poll = |now: Instant, world: &mut World| {
+        let wall = world.wall();
+        world.scheduler.poll(now, wall, Authority::Certain)
+    };
+    let sent = loop {
+        now = now + SECOND / 100;
+        let commands = poll(now, &mut world);
+        if commands
+            .iter()
+            .any(|command| matches!(command, Command::Hold(_)))
+        {
+            break now;
+        }
+    };
+    let mut report = world.endpoints["e1"].report.clone();
+    report.born += 1;
+    world.scheduler.set_endpoint(now, report.clone());
+    let mut started_at = None;
+    while started_at.is_none() && now < sent + 5 * SECOND {
+        now = now + SECOND / 100;
+        for command in poll(now, &mut world) {
+            match command {
+                Command::Hold(order) => {
+                    let reply = Reply {
+                        born: Some(report.born),
+                        clock_ms: 0,
+                        running: Vec::new(),
+                        ended: Vec::new(),
+                    };
+                    let held = Held::Reported(reply);
+                    world.scheduler.held(now, order.endpoint, order.sent, held);
+                }
+                Command::Save(saves) => {
+                    world.scheduler.saved(now, &saves, &Ending::Saved(1_000));
+                }
+                Command::Start(_) => started_at = Some(now),
+                _ => {}
+            }
+        }
+    }
+    let after = started_at.map(|at| at.saturating_since(sent));
+    assert!(after.is_some_and(|after| after >= 2 * SECOND), "{after:?}");
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -15,8 +15,8 @@
 use rhubarbrill_core::job::configuration::{Pool, Queue, Workspace};
 use rhubarbrill_core::job::record::Record;
 use rhubarbrill_core::job::scheduler::{
-    Authority, Command, Ending, Held, Hold, Host, HostState, Options, Pace, Rejection,
-    Ruling, Save, Scheduler, Settled, Start, Stop, Term, Upkeep, WaveState,
+    Authority, Command, Ending, Held, Hold, Host, HostState, Maintenance, Options, Pace,
+    Rejection, Ruling, Save, Scheduler, Settled, Start, Stop, Term, WaveState,
 };
 use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
@@ -544,7 +544,7 @@
                 self.take_down(&order.host, &order.pool, HostState::Moving, MOVE_MS);
                 self.scheduler.host_left(self.now, &order.host);
             }
-            Command::Maintain(Upkeep { host, wave }) => {
+            Command::Maintain(Maintenance { host, wave }) => {
                 self.seen.maintained.push((self.now, host.clone()));
                 let pool = self.hosts[&host].pool.clone();
                 self.take_down(&host, &pool, HostState::Maintained, 2_000);
--- a/crates/dispatch/src/edge.rs
+++ b/crates/dispatch/src/edge.rs
@@ -7,8 +7,8 @@
 
 use rhubarbrill_core::job::record::State;
 use rhubarbrill_core::job::scheduler::{
-    Held, Hold, Host, Move, Pace, Question, Ruling, Settled, Start, Stop, Upkeep, Wave,
-    WaveState,
+    Held, Hold, Host, Maintenance, Move, Pace, Question, Ruling, Settled, Start, Stop,
+    Wave, WaveState,
 };
 use rhubarbrill_core::job::{Configuration, Report, Spec};
 
@@ -282,7 +282,7 @@
     /// Moves a host to another pool; `fence` is the leader's token.
     async fn move_host(&self, order: &Move, fence: u64) -> HostOrder;
     /// Begins a host's maintenance; `fence` is the leader's token.
-    async fn maintain(&self, order: &Upkeep, fence: u64) -> HostOrder;
+    async fn maintain(&self, order: &Maintenance, fence: u64) -> HostOrder;
 }
 
 /// Questions to the placement policy.
--- a/crates/dispatch/src/lead/hosts.rs
+++ b/crates/dispatch/src/lead/hosts.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rhubarbrill_core::job::scheduler::{Authority, Move, Upkeep};
+use rhubarbrill_core::job::scheduler::{Authority, Maintenance, Move};
 use rhubarbrill_core::time::Instant;
 use rhubarbrill_event::Event;
 use slog::o;
@@ -55,7 +55,7 @@
     /// Join another pool.
     Move(Move),
     /// Begin maintenance.
-    Maintain(Upkeep),
+    Maintain(Maintenance),
 }
 
 impl Order {
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
-    Authority, Command, Ending, Held, Host, Options, Pace, Question, Ruling, Save,
-    Scheduler, Settled, Upkeep, Wave, WaveProgress, WaveState,
+    Authority, Command, Ending, Held, Host, Maintenance, Options, Pace, Question, Ruling,
+    Save, Scheduler, Settled, Wave, WaveProgress, WaveState,
 };
 use rhubarbrill_core::job::{EndpointKey, RunKey};
 use rhubarbrill_core::time::Instant;
@@ -80,7 +80,7 @@
     /// An order to move a host ended.
     Moved(String, HostOrder),
     /// An order to begin maintenance ended.
-    Maintained(Upkeep, HostOrder),
+    Maintained(Maintenance, HostOrder),
     /// A wave's state was written.
     WaveReported(Wave, WaveState, bool),
 }
--- a/crates/rhubarbrilld/tests/support/jobs.rs
+++ b/crates/rhubarbrilld/tests/support/jobs.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rhubarbrill_standin::users::Users;
@@ -35,19 +36,37 @@
 impl Entry {
     /// Starts an entry host, whose log goes to a file in the folder.
     pub fn start(folder: &Folder, users: &Users, name: &str) -> Self {
-        let [callers, readiness, metrics] = free_addresses();
+        let addresses = free_addresses();
+        let mut entry = Self::launch(folder, users, users.store(), name, addresses);
+        entry.wait_until_ready(folder);
+        entry
+    }
+
+    /// Starts an entry host that reaches the store at another address; it need not be ready
+    /// yet.
+    pub fn launch(
+        folder: &Folder,
+        users: &Users,
+        store: SocketAddr,
+        name: &str,
+        [callers, readiness, metrics]: [SocketAddr; 3],
+    ) -> Self {
         let settings = format!(
             "node-name={name}\nip=127.0.0.1\nzone=z\nlisten-addrs.front={callers}\n\
              listen-addrs.ready={readiness}\ninternal-ports={},{}\n\
              platform.address={}\ncloud-api.address={}\nadvice={}\nbounds.grace-s=6\n",
             metrics.port(),
             metrics.port(),
-            users.store(),
+            store,
             users.hosts(),
             users.policy(),
         );
         let path = folder.write(&format!("{name}.conf"), &settings);
-        let log = fs::File::create(folder.path().join(format!("{name}.log"))).unwrap();
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(folder.path().join(format!("{name}.log")))
+            .unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrilld"))
             .arg("--platform")
             .env("RHUBARBRILL_NODE_FILE", path)
@@ -55,15 +74,25 @@
             .stderr(Stdio::inherit())
             .spawn()
             .unwrap();
-        let entry = Self {
+        Self {
             child,
             name: name.to_owned(),
             callers,
             readiness,
             metrics,
-        };
-        until("the entry host is ready", || entry.is_ready());
-        entry
+        }
+    }
+
+    fn wait_until_ready(&mut self, folder: &Folder) {
+        let start = Instant::now();
+        while !self.is_ready() {
+            let ended = self.child.try_wait().unwrap();
+            if ended.is_some() || start.elapsed() > TIMEOUT {
+                let log = self.read_log(folder);
+                panic!("{} isn't ready, ended: {ended:?}, log: {log}", self.name);
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
     }
 
     pub fn is_ready(&self) -> bool {
@@ -76,25 +105,7 @@
 
     /// Sends a call for `/q/` at host `h` with a key.
     pub fn call(&self, method: &str, id: &str, key: &str, body: &Value) -> Answer {
-        let request = http::Request::builder()
-            .method(method)
-            .uri(format!("http://{}/q/{id}", self.callers))
-            .header("host", "h")
-            .header("authorization", format!("Bearer {key}"))
-            .header("x-deadline-ms", "3000")
-            .body(body.to_string())
-            .unwrap();
-        let mut answer = agent().run(request).unwrap();
-        let retry_after = answer.headers().get("retry-after");
-        let retry_after = retry_after
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned);
-        let text = answer.body_mut().read_to_string().unwrap();
-        Answer {
-            status: answer.status().as_u16(),
-            retry_after,
-            body: serde_json::from_str(&text).unwrap_or_default(),
-        }
+        call(&agent(), self.callers, method, id, key, body).unwrap()
     }
 
     pub fn state(&self, id: &str) -> String {
@@ -168,7 +179,37 @@
     ]})
 }
 
-fn agent() -> Agent {
+/// Sends a call for `/q/` at host `h` to an entry host; nothing without a whole answer.
+pub fn call(
+    agent: &Agent,
+    callers: SocketAddr,
+    method: &str,
+    id: &str,
+    key: &str,
+    body: &Value,
+) -> Option<Answer> {
+    let request = http::Request::builder()
+        .method(method)
+        .uri(format!("http://{callers}/q/{id}"))
+        .header("host", "h")
+        .header("authorization", format!("Bearer {key}"))
+        .header("x-deadline-ms", "3000")
+        .body(body.to_string())
+        .unwrap();
+    let mut answer = agent.run(request).ok()?;
+    let retry_after = answer.headers().get("retry-after");
+    let retry_after = retry_after
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned);
+    let text = answer.body_mut().read_to_string().ok()?;
+    Some(Answer {
+        status: answer.status().as_u16(),
+        retry_after,
+        body: serde_json::from_str(&text).unwrap_or_default(),
+    })
+}
+
+pub fn agent() -> Agent {
     Agent::config_builder()
         .http_status_as_error(false)
         .timeout_global(Some(Duration::from_secs(5)))
@@ -178,7 +219,27 @@
         .into()
 }
 
-fn free_addresses() -> [SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-    listeners.map(|listener| listener.local_addr().unwrap())
+/// Returns addresses on which nobody listens.
+///
+/// Their ports lie below those that the system gives to outgoing connections, which would
+/// take a port between this look and its use; each process begins at another place.
+pub fn free_addresses() -> [SocketAddr; 3] {
+    [(); 3].map(|()| free_address())
+}
+
+fn free_address() -> SocketAddr {
+    const PORTS: std::ops::Range<u32> = 12_000..32_000;
+    /// Ports that one process takes at most before it meets the next one's.
+    const SHARE: u32 = 331;
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let taken = TAKEN.fetch_add(1, Ordering::SeqCst);
+        let place = std::process::id().wrapping_mul(SHARE).wrapping_add(taken);
+        let port = PORTS.start + place % PORTS.len() as u32;
+        let port = u16::try_from(port).expect("the range holds ports");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -29,6 +29,15 @@
     Freeze,
 }
 
+/// A direction of a connection, seen from the caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Direction {
+    /// From the caller to the target.
+    There,
+    /// From the target to the caller.
+    Back,
+}
+
 /// A TCP forwarder on 127.0.0.1.
 #[derive(Debug)]
 pub struct Link {
@@ -59,6 +68,8 @@
 struct Mode {
     /// Connections with a lower number are frozen.
     frozen_below: u64,
+    /// A direction that carries nothing.
+    silent: Option<Direction>,
     delay: Duration,
 }
 
@@ -99,6 +110,17 @@
         self.server.set_refusing(true);
     }
 
+    /// Drops every connection; new ones work.
+    pub fn reset(&self) {
+        self.server.set_refusing(true);
+        self.server.set_refusing(false);
+    }
+
+    /// Holds every byte and every close in one direction without a sign.
+    pub fn silence(&self, direction: Direction) {
+        self.mode.send_modify(|mode| mode.silent = Some(direction));
+    }
+
     /// Holds every byte and every close of the present connections without a sign.
     pub fn freeze(&self, fresh: Fresh) {
         let frozen_below = match fresh {
@@ -139,11 +161,15 @@
 }
 
 impl Forward {
-    /// Waits until the connection isn't frozen.
-    async fn thawed(&mut self) {
+    /// Waits until the connection isn't frozen, in one direction if one is given.
+    async fn thawed(&mut self, direction: Option<Direction>) {
         let number = self.number;
+        let carries = |mode: &Mode| {
+            let silent = direction.is_some() && mode.silent == direction;
+            mode.frozen_below <= number && !silent
+        };
         // The channel closes only when the link stops, which drops this future as well.
-        let _ = self.mode.wait_for(|mode| mode.frozen_below <= number).await;
+        let _ = self.mode.wait_for(carries).await;
     }
 
     fn delay(&self) -> Duration {
@@ -164,7 +190,7 @@
     token: CancellationToken,
 ) {
     let carry = async {
-        forward.thawed().await;
+        forward.thawed(None).await;
         let Ok(far) = TcpStream::connect(target).await else {
             return;
         };
@@ -173,10 +199,8 @@
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
         tokio::join!(
-            pump(&forward, near_read, far_write, |counts| &counts.sent_bytes),
-            pump(&forward, far_read, near_write, |counts| {
-                &counts.received_bytes
-            }),
+            pump(&forward, Direction::There, near_read, far_write),
+            pump(&forward, Direction::Back, far_read, near_write),
         );
     };
     tokio::select! {
@@ -188,30 +212,34 @@
 /// Carries one direction until its end.
 async fn pump(
     forward: &Forward,
+    direction: Direction,
     from: OwnedReadHalf,
     to: OwnedWriteHalf,
-    counter: fn(&Counts) -> &AtomicU64,
 ) {
     let (sender, receiver) = mpsc::channel(CHUNKS_IN_FLIGHT);
     tokio::join!(
-        fill(forward, from, sender, counter),
-        drain(forward.clone(), to, receiver),
+        fill(forward, direction, from, sender),
+        drain(forward.clone(), direction, to, receiver),
     );
 }
 
 async fn fill(
     forward: &Forward,
+    direction: Direction,
     mut from: OwnedReadHalf,
     sender: mpsc::Sender<Chunk>,
-    counter: fn(&Counts) -> &AtomicU64,
 ) {
+    let counter = match direction {
+        Direction::There => &forward.counts.sent_bytes,
+        Direction::Back => &forward.counts.received_bytes,
+    };
     loop {
         let mut bytes = vec![0; CHUNK_BYTES];
         let len = from.read(&mut bytes).await.unwrap_or(0);
         if len == 0 {
             return;
         }
-        counter(&forward.counts).fetch_add(len as u64, Ordering::SeqCst);
+        counter.fetch_add(len as u64, Ordering::SeqCst);
         bytes.truncate(len);
         let due = Instant::now() + forward.delay();
         if sender.send(Chunk { due, bytes }).await.is_err() {
@@ -222,6 +250,7 @@
 
 async fn drain(
     mut forward: Forward,
+    direction: Direction,
     mut to: OwnedWriteHalf,
     mut receiver: mpsc::Receiver<Chunk>,
 ) {
@@ -230,12 +259,12 @@
         if chunk.due > Instant::now() {
             tokio::time::sleep_until(chunk.due).await;
         }
-        forward.thawed().await;
+        forward.thawed(Some(direction)).await;
         if to.write_all(&chunk.bytes).await.is_err() {
             return;
         }
     }
-    forward.thawed().await;
+    forward.thawed(Some(direction)).await;
     // The peer may be gone already; then there is nobody left to tell.
     let _ = to.shutdown().await;
 }
--- a/crates/standin/src/users.rs
+++ b/crates/standin/src/users.rs
@@ -98,6 +98,33 @@
         id
     }
 
+    /// Returns where an endpoint answers, whatever its registration says.
+    pub fn endpoint(&self, id: &str) -> Option<SocketAddr> {
+        Some(self.endpoints.get(place(id)?)?.address())
+    }
+
+    /// Registers an endpoint at another address, such as that of a link.
+    pub fn register_at(&self, id: &str, address: SocketAddr) {
+        self.shared.lock().register_at(id, address);
+    }
+
+    /// Ends all that an endpoint runs and knows, and starts it again under its identity.
+    pub fn restart(&self, id: &str) {
+        let server = place(id).and_then(|at| self.endpoints.get(at));
+        if let Some(server) = server {
+            server.set_refusing(true);
+        }
+        self.shared.lock().restart(id);
+        if let Some(server) = server {
+            server.set_refusing(false);
+        }
+    }
+
+    /// Lets an endpoint's clock run at `permille` thousandths of the true speed.
+    pub fn set_clock(&self, id: &str, permille: u64) {
+        self.shared.lock().set_clock(id, permille);
+    }
+
     /// Writes a configuration with one queue, `/q/` at host `h`, on one pool, for key `k`.
     pub fn configure(&self, version: u64, pool: &str, keys: &[&str]) {
         let advice = json!({"decide-ms": 20, "period-ms": 5, "valid-ms": 3_000});
@@ -139,14 +166,16 @@
 
     /// Refuses connections to an endpoint, or accepts them again.
     pub fn cut(&self, endpoint: &str, cut: bool) {
-        let place = endpoint
-            .strip_prefix("i-")
-            .and_then(|place| place.parse::<usize>().ok());
-        if let Some(server) = place.and_then(|place| self.endpoints.get(place)) {
+        if let Some(server) = place(endpoint).and_then(|at| self.endpoints.get(at)) {
             server.set_refusing(cut);
         }
     }
 
+    /// Returns what endpoints were ordered that must never be.
+    pub fn violations(&self) -> Vec<String> {
+        self.shared.lock().violations.clone()
+    }
+
     /// Returns every start that an endpoint carried out, in order.
     pub fn ran(&self) -> Vec<Ran> {
         self.shared.lock().ran.clone()
@@ -170,3 +199,7 @@
         self.shared.lock().value(key)
     }
 }
+
+fn place(endpoint: &str) -> Option<usize> {
+    endpoint.strip_prefix("i-")?.parse().ok()
+}
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -8,6 +8,9 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 
+/// When the first life of each endpoint began, in milliseconds since the Unix epoch.
+const FIRST_BIRTH_MS: u64 = 1_000;
+
 /// How the store behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Trouble {
@@ -31,6 +34,8 @@
     pub run: u64,
     /// Identity of the endpoint.
     pub endpoint: String,
+    /// When.
+    pub at: Instant,
 }
 
 #[derive(Clone, Debug)]
@@ -59,6 +64,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Endpoint {
     pub(crate) pool: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) clock: Clock,
+    /// When its life began, in milliseconds since the Unix epoch.
+    pub(crate) born: u64,
     pub(crate) run_time: Duration,
     pub(crate) live: Vec<Live>,
     pub(crate) ended: Vec<End>,
@@ -68,10 +77,24 @@
     pub(crate) stopped: BTreeMap<String, u64>,
 }
 
+/// The clock of an endpoint, which may run fast or slow.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    began: Instant,
+    permille: u64,
+}
+
+impl Clock {
+    /// Returns its reading in milliseconds.
+    pub(crate) fn now_ms(self) -> u64 {
+        let elapsed = u64::try_from(self.began.elapsed().as_micros()).unwrap_or(0);
+        elapsed * self.permille / 1_000_000
+    }
+}
+
 /// Everything that the platform holds.
 #[derive(Debug)]
 pub(crate) struct State {
-    pub(crate) began: Instant,
     pub(crate) revision: u64,
     pub(crate) items: BTreeMap<String, Item>,
     /// Changes since the history was dropped: revision and key.
@@ -84,12 +107,14 @@
     /// The endpoints that the placement policy allows, if there is a policy.
     pub(crate) allowed: Option<BTreeSet<String>>,
     pub(crate) most_at_once: usize,
+    /// Tasks whose end `done` an endpoint was told to forget.
+    pub(crate) noted: BTreeSet<String>,
+    pub(crate) violations: Vec<String>,
 }
 
 impl Default for State {
     fn default() -> Self {
         Self {
-            began: Instant::now(),
             revision: 1,
             items: BTreeMap::new(),
             history: Vec::new(),
@@ -100,16 +125,13 @@
             ran: Vec::new(),
             allowed: None,
             most_at_once: 0,
+            noted: BTreeSet::new(),
+            violations: Vec::new(),
         }
     }
 }
 
 impl State {
-    /// Returns the reading of the clock that every endpoint shares, in milliseconds.
-    pub(crate) fn clock_ms(&self) -> u64 {
-        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
-    }
-
     /// Writes a value at a revision of its own.
     pub(crate) fn put(&mut self, key: &str, value: &[u8], lease: u64) {
         self.revision += 1;
@@ -192,34 +214,84 @@
         address: SocketAddr,
         run_time: Duration,
     ) {
+        let endpoint = Endpoint {
+            pool: pool.to_owned(),
+            address,
+            clock: Clock {
+                began: Instant::now(),
+                permille: 1_000,
+            },
+            born: FIRST_BIRTH_MS,
+            run_time,
+            live: Vec::new(),
+            ended: Vec::new(),
+            sequence: 0,
+            fence: 0,
+            lease_end_ms: 0,
+            stopped: BTreeMap::new(),
+        };
+        self.endpoints.insert(id.to_owned(), endpoint);
+        self.register(id);
+    }
+
+    /// Writes an endpoint's registration.
+    fn register(&mut self, id: &str) {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return;
+        };
         let entry = json!({
-            "service": pool, "address": address.to_string(), "zone": "z", "version": "v1",
-            "slots": 8, "state": "ready", "cold-remaining-ms": 0,
+            "service": endpoint.pool, "address": endpoint.address.to_string(),
+            "zone": "z", "version": "v1", "slots": 8, "state": "ready",
+            "cold-remaining-ms": 0, "labels": ["a", "r1-1"],
             "capacity": {"cpu": 32_000, "mem-mb": 131_072, "gpu": 0},
-            "labels": ["a", "r1-1"], "clock-ms": self.clock_ms(), "seq": 1, "born": 1_000,
+            "clock-ms": endpoint.clock.now_ms(), "seq": 1, "born": endpoint.born,
         });
         self.put(&format!("servers/{id}"), entry.to_string().as_bytes(), 0);
-        self.endpoints.insert(
-            id.to_owned(),
-            Endpoint {
-                pool: pool.to_owned(),
-                run_time,
-                live: Vec::new(),
-                ended: Vec::new(),
-                sequence: 0,
-                fence: 0,
-                lease_end_ms: 0,
-                stopped: BTreeMap::new(),
-            },
-        );
+    }
+
+    pub(crate) fn register_at(&mut self, id: &str, address: SocketAddr) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.address = address;
+        }
+        self.register(id);
+    }
+
+    pub(crate) fn set_clock(&mut self, id: &str, permille: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.clock.permille = permille;
+        }
+        self.register(id);
+    }
+
+    /// Begins another life of an endpoint, which knows nothing of the one before.
+    pub(crate) fn restart(&mut self, id: &str) {
+        self.advance();
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.born += 1;
+            endpoint.clock.began = Instant::now();
+            endpoint.live.clear();
+            endpoint.ended.clear();
+            endpoint.sequence = 0;
+            endpoint.fence = 0;
+            endpoint.lease_end_ms = 0;
+            endpoint.stopped.clear();
+        }
+        self.register(id);
+    }
+
+    /// Notes a start that must never be.
+    pub(crate) fn check_start(&mut self, task: &str, run: u64) {
+        if self.noted.contains(task) {
+            let what = format!("{task} run {run} started after its end was noted");
+            self.violations.push(what);
+        }
     }
 
     /// Ends what is done or whose lease is over, and notes what runs at once.
     pub(crate) fn advance(&mut self) {
         let now = Instant::now();
-        let clock_ms = self.clock_ms();
         for endpoint in self.endpoints.values_mut() {
-            let lapsed = clock_ms > endpoint.lease_end_ms;
+            let lapsed = endpoint.clock.now_ms() > endpoint.lease_end_ms;
             let live = std::mem::take(&mut endpoint.live);
             for live in live {
                 if live.until <= now {
