Let an entry host without the store hand jobs to the leader

Cause: an entry host that the store alone turns away, or that is cut off from it, refused every job with 503 for as long as that lasted, though the others could take it; and it went on showing states that had changed. Ruled out: to wait for the store (callers' deadlines pass); a protocol of its own (see the design). Change: the leader's record tells its internal address. A submission that certainly wasn't written is handed to it, with the key that the caller presented; the leader checks queue and key by its own configuration and writes the job. Without its answer the caller gets 504, if it couldn't be reached or couldn't write, 503 as before. States that may have changed are asked of the leader while the store is lost. The soak's faults follow one another at once more often, last longer, and meet runs of up to 3 s.

--- a/crates/dispatch/src/edge.rs
+++ b/crates/dispatch/src/edge.rs
@@ -3,8 +3,10 @@
 //! An adapter implements [`Platform`] and only translates: decisions, state and recovery
 //! stay on this side.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::Method;
 use rhubarbrill_core::job::record::State;
 use rhubarbrill_core::job::scheduler::{
     Held, Hold, Host, Maintenance, Move, Pace, Question, Ruling, Settled, Start, Stop,
@@ -22,6 +24,8 @@
     type Hosts: Hosts;
     /// Questions to the placement policy.
     type Policy: Policy;
+    /// Calls between entry hosts.
+    type Peers: Peers;
     /// Bodies that callers send and get.
     type Bodies: Bodies;
 
@@ -33,6 +37,8 @@
     fn hosts(&self) -> &Self::Hosts;
     /// Returns the way to the placement policy.
     fn policy(&self) -> &Self::Policy;
+    /// Returns the way to other entry hosts.
+    fn peers(&self) -> &Self::Peers;
     /// Returns the form of bodies.
     fn bodies(&self) -> &Self::Bodies;
 }
@@ -292,6 +298,25 @@
     async fn ask(&self, question: &Question) -> Ruling;
 }
 
+/// Calls between entry hosts, in the project's own form.
+#[expect(async_fn_in_trait, reason = "every future stays on its thread")]
+pub trait Peers {
+    /// Calls another entry host and returns the body of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails without a usable answer; the failure tells whether the call may have had its
+    /// effect.
+    async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Vec<u8>, Failure>;
+}
+
 /// Bodies that callers send and get.
 pub trait Bodies {
     /// Reads a submitted job.
--- a/crates/dispatch/src/front.rs
+++ b/crates/dispatch/src/front.rs
@@ -1,10 +1,11 @@
 //! Callers: listener, requests, answers.
 
 mod answer;
+mod handover;
 mod request;
 mod status;
 mod submit;
 
 pub use answer::Answer;
 pub use request::Service;
-pub use status::serve_status;
+pub use status::{serve_internal, serve_readiness};
--- a/crates/dispatch/src/front/request.rs
+++ b/crates/dispatch/src/front/request.rs
@@ -47,6 +47,8 @@
 pub(super) struct Call {
     pub(super) queue: Queue,
     pub(super) workspace: Option<String>,
+    /// Key that the caller presented, if the queue needs one.
+    pub(super) key: Option<String>,
     /// Identity of the job; empty for the queue itself.
     pub(super) id: String,
     /// Longest time until the answer.
@@ -98,7 +100,8 @@
         let Some(queue) = configuration.route(host, path) else {
             return Err(self.refuse(StatusCode::NOT_FOUND, "no such queue"));
         };
-        let workspace = self.workspace(&configuration, queue, headers)?;
+        let key = key(headers).filter(|_| !queue.public);
+        let workspace = self.workspace(&configuration, queue, key)?;
         let id = path[queue.prefix.len()..].to_ascii_lowercase();
         let kind = match *method {
             Method::POST => "submit",
@@ -119,6 +122,7 @@
         Ok(Call {
             queue: queue.clone(),
             workspace,
+            key: key.map(str::to_owned),
             id,
             patience: patience(headers),
             max_body_bytes: configuration.max_body_bytes,
@@ -130,15 +134,11 @@
         &self,
         configuration: &Configuration,
         queue: &Queue,
-        headers: &HeaderMap,
+        key: Option<&str>,
     ) -> Result<Option<String>, Answer> {
         if queue.public {
             return Ok(None);
         }
-        let key = headers
-            .get(AUTHORIZATION)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|value| value.strip_prefix("Bearer "));
         let holder = key.and_then(|key| configuration.holder(key));
         match holder {
             Some(workspace) => Ok(Some(workspace.name.clone())),
@@ -262,6 +262,12 @@
     }
 }
 
+/// Returns the key that a caller presents.
+fn key(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    value.strip_prefix("Bearer ")
+}
+
 fn patience(headers: &HeaderMap) -> Duration {
     let asked = headers
         .get(DEADLINE_HEADER)
--- a/crates/dispatch/src/front/status.rs
+++ b/crates/dispatch/src/front/status.rs
@@ -1,33 +1,52 @@
-//! Readiness for the balancer, and metrics for operators.
+//! Readiness for the balancer; for operators and other entry hosts, metrics and what they hand
+//! on.
 
 use std::rc::Rc;
+use std::time::Duration;
 
-use http::StatusCode;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use tokio_util::sync::CancellationToken;
 
-use super::Answer;
+use super::{Answer, handover};
 use crate::edge::{Bodies, Platform};
 use crate::listener::Listener;
 use crate::node::Node;
 
-/// Answers the balancer and readers of metrics until the process ends.
-pub async fn serve_status<P: Platform>(node: Rc<Node<P>>, listener: Listener) {
+/// Answers the balancer until the process ends.
+pub async fn serve_readiness<P: Platform>(node: Rc<Node<P>>, listener: Listener) {
     let media_type = node.platform.bodies().media_type();
-    let never = tokio_util::sync::CancellationToken::new();
-    let answer = move |request: http::Request<hyper::body::Incoming>| {
+    let answer = move |_: Request<Incoming>| {
+        let status = if node.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        async move { Answer::new(status, "readiness").into_response(media_type) }
+    };
+    listener
+        .run(answer, CancellationToken::new(), Duration::ZERO)
+        .await;
+}
+
+/// Answers readers of metrics and other entry hosts until the process ends.
+pub async fn serve_internal<P: Platform>(node: Rc<Node<P>>, listener: Listener) {
+    let answer = move |request: Request<Incoming>| {
         let node = Rc::clone(&node);
         async move {
             if request.uri().path() == "/metrics" {
                 return metrics(&node).into_response("text/plain; version=0.0.4");
             }
-            let status = if node.is_ready() {
-                StatusCode::OK
-            } else {
-                StatusCode::SERVICE_UNAVAILABLE
-            };
-            Answer::new(status, "readiness").into_response(media_type)
+            let unknown = || Answer::new(StatusCode::NOT_FOUND, "no such path");
+            let answer = handover::answer(&node, request).await;
+            answer
+                .unwrap_or_else(unknown)
+                .into_response("application/json")
         }
     };
-    listener.run(answer, never, std::time::Duration::ZERO).await;
+    listener
+        .run(answer, CancellationToken::new(), Duration::ZERO)
+        .await;
 }
 
 fn metrics<P: Platform>(node: &Node<P>) -> Answer {
--- a/crates/dispatch/src/front/submit.rs
+++ b/crates/dispatch/src/front/submit.rs
@@ -4,11 +4,13 @@
 
 use http::StatusCode;
 use rhubarbrill_core::job::Spec;
+use rhubarbrill_core::job::configuration::Queue;
 use rhubarbrill_core::job::record::{Record, State, Submission};
 use rhubarbrill_core::time::Instant;
+use serde::{Deserialize, Serialize};
 
-use super::Answer;
 use super::request::Call;
+use super::{Answer, handover};
 use crate::edge::{
     Bodies, Committed, Condition, Failure, Item, Platform, Store, Transaction, Write,
 };
@@ -48,37 +50,96 @@
     Unknown,
 }
 
-/// Puts a job into the store.
+/// What became of a submission.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum Written {
+    /// It is in the store, at this revision.
+    Accepted(u64),
+    /// It was there already.
+    AcceptedBefore,
+    /// It certainly isn't and won't be in the store.
+    TurnedAway,
+    /// Nothing is known.
+    Unanswered,
+}
+
+impl Written {
+    /// Returns the name used in logs.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted(_) => "accepted",
+            Self::AcceptedBefore => "accepted before",
+            Self::TurnedAway => "the store turned the job away",
+            Self::Unanswered => "the store didn't answer; the job may be accepted",
+        }
+    }
+}
+
+/// Takes a job: puts it into the store, or has the leader do so if the store turns it away.
 pub(super) async fn submit<P: Platform>(
     node: &Node<P>,
     call: &Call,
     spec: Spec,
 ) -> Answer {
     if node.view.borrow().state(&call.id).is_some() {
-        return Answer::new(StatusCode::OK, "accepted before");
+        return answer(node, Written::AcceptedBefore);
+    }
+    let deadline = clock::now() + call.patience;
+    let (queue, workspace) = (&call.queue, call.workspace.clone());
+    let written = store(node, &call.id, queue, workspace, spec.clone(), deadline).await;
+    let written = match written {
+        Written::TurnedAway => handover::submit(node, call, spec, deadline).await,
+        Written::Accepted(_) | Written::AcceptedBefore | Written::Unanswered => written,
+    };
+    if let Written::Accepted(revision) = written {
+        node.view.borrow_mut().note_accepted(&call.id, revision);
     }
+    answer(node, written)
+}
+
+fn answer<P: Platform>(node: &Node<P>, written: Written) -> Answer {
+    let refusal = || node.platform.bodies().refusal(written.as_str());
+    match written {
+        Written::Accepted(_) | Written::AcceptedBefore => {
+            Answer::new(StatusCode::OK, written.as_str())
+        }
+        Written::TurnedAway => {
+            Answer::new(StatusCode::SERVICE_UNAVAILABLE, written.as_str())
+                .with_body(refusal())
+                .with_retry_after(STORE_RETRY)
+        }
+        Written::Unanswered => Answer::new(StatusCode::GATEWAY_TIMEOUT, written.as_str())
+            .with_body(refusal()),
+    }
+}
+
+/// Puts a job into the store.
+pub(super) async fn store<P: Platform>(
+    node: &Node<P>,
+    id: &str,
+    queue: &Queue,
+    workspace: Option<String>,
+    spec: Spec,
+    deadline: Instant,
+) -> Written {
     if is_store_lost(node) {
         // Nothing was sent, so the job is certainly not accepted here.
-        return turned_away(node);
+        return Written::TurnedAway;
     }
     let record = Record {
-        queue: call.queue.name.clone(),
-        pool: call.queue.pool.clone(),
-        workspace: call.workspace.clone(),
+        queue: queue.name.clone(),
+        pool: queue.pool.clone(),
+        workspace,
         submitted: clock::wall(),
         spec,
     };
     let submission = Submission::Accepted(Box::new(record));
-    let value = match serde_json::to_vec(&submission) {
-        Ok(value) => value,
-        Err(error) => {
-            let body = node.platform.bodies().refusal(&error.to_string());
-            return Answer::new(StatusCode::BAD_REQUEST, "job not writable")
-                .with_body(body);
-        }
-    };
-    let deadline = clock::now() + call.patience;
-    write(node, &call.id, value, deadline).await
+    match serde_json::to_vec(&submission) {
+        Ok(value) => write(node, id, value, deadline).await,
+        // A job that was read can be written.
+        Err(_) => Written::TurnedAway,
+    }
 }
 
 /// Writes a submission until it is certain what became of it, or the deadline passes.
@@ -87,7 +148,7 @@
     id: &str,
     value: Vec<u8>,
     deadline: Instant,
-) -> Answer {
+) -> Written {
     let mut revision = 0;
     let mut doubtful = false;
     while clock::now() < deadline {
@@ -95,17 +156,16 @@
         match node.platform.store().commit(&transaction).await {
             Ok(Committed::Done(revision)) => {
                 node.metrics.store_write("done");
-                node.view.borrow_mut().note_accepted(id, revision);
-                return Answer::new(StatusCode::OK, "accepted");
+                return Written::Accepted(revision);
             }
             Ok(Committed::Conflict(items)) => match found(&items) {
-                Found::Accepted => return Answer::new(StatusCode::OK, "accepted before"),
+                Found::Accepted => return Written::AcceptedBefore,
                 Found::Marker(at) => revision = at,
             },
-            Ok(Committed::LeaseGone) => return unanswered(node),
+            Ok(Committed::LeaseGone) => return Written::Unanswered,
             Err(Failure::NotDone(_) | Failure::Compacted) if !doubtful => {
                 node.metrics.store_write("not done");
-                return turned_away(node);
+                return Written::TurnedAway;
             }
             Err(Failure::NotDone(_) | Failure::Compacted) => {
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -113,13 +173,13 @@
             Err(Failure::Unknown(_)) => {
                 node.metrics.store_write("unknown");
                 if doubtful || is_store_lost(node) {
-                    return unanswered(node);
+                    return Written::Unanswered;
                 }
                 doubtful = true;
             }
         }
     }
-    unanswered(node)
+    Written::Unanswered
 }
 
 /// Returns the write of a job that replaces a marker of this revision, or nothing; a job that
@@ -167,19 +227,6 @@
     Found::Marker(marker)
 }
 
-fn turned_away<P: Platform>(node: &Node<P>) -> Answer {
-    let reason = "the store turned the job away";
-    Answer::new(StatusCode::SERVICE_UNAVAILABLE, reason)
-        .with_body(node.platform.bodies().refusal(reason))
-        .with_retry_after(STORE_RETRY)
-}
-
-fn unanswered<P: Platform>(node: &Node<P>) -> Answer {
-    let reason = "the store didn't answer; the job may be accepted";
-    Answer::new(StatusCode::GATEWAY_TIMEOUT, reason)
-        .with_body(node.platform.bodies().refusal(reason))
-}
-
 /// Writes a cancellation.
 pub(super) async fn cancel<P: Platform>(node: &Node<P>, call: &Call) -> Cancelled {
     let deadline = clock::now() + call.patience;
@@ -219,24 +266,38 @@
     Cancelled::Unknown
 }
 
-/// Finds the state of a job, in the store if the copy doesn't know it.
+/// Finds the state of a job: in the copy, else in the store, or by asking the leader while
+/// the store is lost to this process.
 pub(super) async fn look_up<P: Platform>(node: &Node<P>, call: &Call) -> Lookup {
-    if let Some(state) = node.view.borrow().state(&call.id) {
+    let known = node.view.borrow().state(&call.id);
+    let may_be_old = is_store_lost(node) && !known.is_some_and(State::is_final);
+    if may_be_old && let Some(state) = handover::state(node, &call.id).await {
+        return state.or(known).map_or(Lookup::NoSuchJob, Lookup::Found);
+    }
+    if let Some(state) = known {
         return Lookup::Found(state);
     }
     let deadline = clock::now() + call.patience;
     while clock::now() < deadline {
-        match read(node, &call.id).await {
-            Ok(Stored::UnderWay(_, state) | Stored::Over(state)) => {
-                return Lookup::Found(state);
-            }
-            Ok(Stored::Nothing) => return Lookup::NoSuchJob,
+        match read_shown(node, &call.id).await {
+            Ok(state) => return state.map_or(Lookup::NoSuchJob, Lookup::Found),
             Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
     Lookup::Unknown
 }
 
+/// Reads the state of a job from the store; nothing if there is no such job.
+pub(super) async fn read_shown<P: Platform>(
+    node: &Node<P>,
+    id: &str,
+) -> Result<Option<State>, Failure> {
+    Ok(match read(node, id).await? {
+        Stored::UnderWay(_, state) | Stored::Over(state) => Some(state),
+        Stored::Nothing => None,
+    })
+}
+
 /// What the store holds of a job.
 enum Stored {
     /// The revision of its record, and its state.
--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -103,6 +103,7 @@
     let leader = Leader {
         name: node.settings.name.clone(),
         nonce: nonce.to_owned(),
+        address: Some(node.settings.internal),
     };
     let leader = serde_json::to_vec(&leader).ok()?;
     let transaction = Transaction {
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::edge::Platform;
-use crate::front::{Service, serve_status};
+use crate::front::{Service, serve_internal, serve_readiness};
 use crate::listener::{Listener, Options};
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -20,8 +20,11 @@
 /// Most connections of callers; far below the descriptors that hosts allow.
 const MAX_CONNECTIONS: usize = 1_500;
 
-/// Most connections of the balancer and of readers of metrics.
-const MAX_STATUS_CONNECTIONS: usize = 32;
+/// Most connections of the balancer.
+const MAX_READINESS_CONNECTIONS: usize = 32;
+
+/// Most connections of readers of metrics and of other entry hosts, each of which keeps some.
+const MAX_INTERNAL_CONNECTIONS: usize = 512;
 
 /// Longest time until a request's header is complete.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -59,8 +62,8 @@
     stopping: CancellationToken,
 ) -> Result<()> {
     let callers = listen(settings.callers, MAX_CONNECTIONS).await?;
-    let readiness = listen(settings.readiness, MAX_STATUS_CONNECTIONS).await?;
-    let metrics = listen(settings.metrics, MAX_STATUS_CONNECTIONS).await?;
+    let readiness = listen(settings.readiness, MAX_READINESS_CONNECTIONS).await?;
+    let internal = listen(settings.internal, MAX_INTERNAL_CONNECTIONS).await?;
     let node = Rc::new(Node::new(
         platform,
         settings,
@@ -71,8 +74,8 @@
     let fields = o!("callers" => node.settings.callers.to_string());
     event::log(&node.log, Event::Started, fields);
     tokio::task::spawn_local(sync::follow_shared(Rc::clone(&node)));
-    tokio::task::spawn_local(serve_status(Rc::clone(&node), readiness));
-    tokio::task::spawn_local(serve_status(Rc::clone(&node), metrics));
+    tokio::task::spawn_local(serve_readiness(Rc::clone(&node), readiness));
+    tokio::task::spawn_local(serve_internal(Rc::clone(&node), internal));
     let leading = tokio::task::spawn_local(lead::campaign(Rc::clone(&node)));
     let closing = CancellationToken::new();
     let open = tokio::task::spawn_local(serve_callers(
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -14,8 +14,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether to send callers.
     pub readiness: SocketAddr,
-    /// Where metrics are read.
-    pub metrics: SocketAddr,
+    /// Where metrics are read, and where other entry hosts ask.
+    pub internal: SocketAddr,
     /// Time between a request to stop and a kill.
     pub stop_grace: Duration,
     /// Longest lease that endpoints grant.
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -1,6 +1,7 @@
 //! What every process knows of the store: a copy that watches keep up to date.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use rhubarbrill_core::job::scheduler::Wave;
@@ -19,6 +20,9 @@
     pub name: String,
     /// Distinguishes the leader's processes.
     pub nonce: String,
+    /// Where it takes what other entry hosts hand on.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
 }
 
 /// The record that counts terms.
--- a/crates/rhubarbrilld/tests/jobs.rs
+++ b/crates/rhubarbrilld/tests/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rhubarbrill_standin::link::{Fresh, Link};
 use rhubarbrill_standin::users::{Trouble, Users};
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -9,7 +10,7 @@
 mod support;
 
 use support::daemon::Folder;
-use support::jobs::{Entry, id, two_steps, until};
+use support::jobs::{Entry, free_addresses, id, two_steps, until};
 
 const RUN_TIME: Duration = Duration::from_millis(200);
 
@@ -345,3 +346,60 @@
     assert_eq!(ran.len(), 16, "each task ran once");
     assert!(ran.iter().all(|ran| ran.endpoint == "i-1"));
 }
+
+/// What becomes of the way from one entry host to the store, which serves the others.
+#[rstest]
+#[case::cut(|link: &Link| link.cut())]
+#[case::silent(|link: &Link| link.freeze(Fresh::Freeze))]
+fn an_entry_host_without_the_store_hands_jobs_on(#[case] harm: fn(&Link)) {
+    let mut deployment = deploy(2, RUN_TIME);
+    let link = Link::start(deployment.users.store());
+    let addresses = free_addresses();
+    let (folder, users) = (&deployment.folder, &deployment.users);
+    let apart = Entry::launch(folder, users, link.address(), "entry-2", addresses);
+    until("the entry host knows the leader", || {
+        apart.read_log(folder).contains("LeaderSeen")
+    });
+    harm(&link);
+    // Until it knows that the store is lost, it may not tell what became of a job.
+    std::thread::sleep(Duration::from_secs(2));
+    for number in 0..3 {
+        let answer = apart.call("POST", &id(number), "k", &two_steps(1));
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    for number in 0..3 {
+        until("the job is shown as completed", || {
+            apart.state(&id(number)) == "completed"
+        });
+    }
+    let unknown = apart.call("GET", &id(9), "k", &Value::Null);
+    assert_eq!(unknown.status, 410);
+    let refused = apart.call("POST", &id(4), "x", &two_steps(1));
+    assert_eq!(refused.status, 401);
+    deployment.until_completed(3);
+    assert_eq!(deployment.users.ran().len(), 6, "each task ran once");
+    deployment.entries.push(apart);
+}
+
+#[test]
+fn a_key_that_the_leader_does_not_know_is_not_handed_on() {
+    let deployment = deploy(2, RUN_TIME);
+    let link = Link::start(deployment.users.store());
+    let addresses = free_addresses();
+    let (folder, users) = (&deployment.folder, &deployment.users);
+    let apart = Entry::launch(folder, users, link.address(), "entry-2", addresses);
+    until("the entry host knows the leader", || {
+        apart.read_log(folder).contains("LeaderSeen")
+    });
+    link.cut();
+    deployment.users.configure(2, "a", &["other"]);
+    for entry in &deployment.entries {
+        until("the key is withdrawn", || {
+            entry.call("GET", &id(0), "k", &Value::Null).status == 401
+        });
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    let answer = apart.call("POST", &id(0), "k", &two_steps(1));
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(deployment.users.ran().is_empty());
+}
--- a/crates/rhubarbrilld/tests/soak/deployment.rs
+++ b/crates/rhubarbrilld/tests/soak/deployment.rs
@@ -28,12 +28,18 @@
 /// Most faults at once.
 const MAX_FAULTS: usize = 3;
 
+/// Shortest time that a fault lasts.
+const MIN_FAULT: Duration = Duration::from_millis(200);
+
 /// Longest time that a fault lasts.
-pub const MAX_FAULT: Duration = Duration::from_millis(3_500);
+pub const MAX_FAULT: Duration = Duration::from_millis(4_500);
 
 /// Longest pause between two faults, in milliseconds.
 const MAX_PAUSE_MS: u64 = 900;
 
+/// Part of the faults that the next one follows at once.
+const AT_ONCE: f64 = 0.4;
+
 /// Most that an endpoint's clock runs fast or slow, in thousandths.
 const MAX_DRIFT_PERMILLE: u64 = 20;
 
@@ -56,7 +62,7 @@
         let mut users = Users::start();
         let mut endpoint_links = Vec::new();
         for _ in 0..ENDPOINTS {
-            let run_time = Duration::from_millis(random.random_range(100..700));
+            let run_time = Duration::from_millis(random.random_range(200..3_000));
             let id = users.add_endpoint("a", run_time);
             let drift = MAX_DRIFT_PERMILLE;
             users.set_clock(&id, random.random_range(1_000 - drift..=1_000 + drift));
@@ -164,14 +170,19 @@
         }
         if open.len() < MAX_FAULTS {
             let fault = Fault::random(random, deployment);
-            let lasts = random.random_range(Duration::from_millis(100)..MAX_FAULT);
+            let lasts = random.random_range(MIN_FAULT..MAX_FAULT);
             let at = start.elapsed().as_millis();
             story.push(format!("{at} ms: {fault:?} for {} ms", lasts.as_millis()));
             if let Some(healing) = fault.carry_out(deployment) {
                 open.push((now + lasts, healing));
             }
         }
-        let pause = random.random_range(50..MAX_PAUSE_MS);
+        // Many a fault comes right upon another.
+        let pause = if random.random_bool(AT_ONCE) {
+            0
+        } else {
+            random.random_range(50..MAX_PAUSE_MS)
+        };
         std::thread::sleep(Duration::from_millis(pause));
     }
     story
