--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -20,6 +20,7 @@
 mod answer;
 mod capacity;
 mod finish;
+mod hosts;
 mod inherit;
 mod intake;
 mod lease;
@@ -32,12 +33,13 @@
 mod rank;
 mod retain;
 mod save;
+mod settle;
 mod share;
 mod straggle;
 mod wave;
 
 pub use answer::{EndRow, Held, Rejection, Reply, Row, Settled};
-pub use capacity::{Host, HostState, Move};
+pub use hosts::{Host, HostState, Move};
 pub use note::Note;
 pub use permission::{Permit, Question, Ruling, StepRef};
 pub use save::{Ending, Save};
@@ -198,7 +200,7 @@
     saves_in_flight: usize,
     last_save_at: Instant,
     deposed: bool,
-    hosts: capacity::Hosts,
+    hosts: hosts::Hosts,
     waves: wave::Waves,
     arrivals: capacity::Arrivals,
     paces: pace::Paces,
@@ -229,7 +231,7 @@
             saves_in_flight: 0,
             last_save_at: now,
             deposed: false,
-            hosts: capacity::Hosts::default(),
+            hosts: hosts::Hosts::default(),
             waves: wave::Waves::default(),
             arrivals: capacity::Arrivals::default(),
             paces: pace::Paces::default(),
--- /dev/null
+++ b/crates/core/src/job/scheduler/settle.rs
@@ -0,0 +1,467 @@
+//! What follows from the answers of endpoints: runs begin, go on, end, or are looked for.
+
+use std::time::Duration;
+
+use super::answer::{EndRow, Held, Rejection, Row, Settled};
+use super::finish::Ended;
+use super::{Note, Scheduler};
+use crate::job::endpoint::{Contact, Unsaved};
+use crate::job::run::{Phase, Run};
+use crate::job::{End, EndpointKey, Name, Resource, RunKey, TaskRef};
+use crate::time::Instant;
+
+/// Pause before an endpoint that didn't answer is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Time for which an endpoint that said it is unhealthy gets nothing new.
+const UNHEALTHY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time for which an endpoint without room gets nothing new.
+const FULL_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time for which a task is kept back that any endpoint would reject.
+const REJECTED_PAUSE: Duration = Duration::from_secs(1);
+
+/// Distance to the next number when an endpoint has seen a higher one than expected.
+const NUMBER_STEP: u64 = 100;
+
+impl Scheduler {
+    /// Takes what became of an order to start.
+    pub fn started(&mut self, now: Instant, key: RunKey, settled: Settled) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let (endpoint, phase) = (run.endpoint, run.phase);
+        self.note_contact(now, endpoint, settled);
+        match settled {
+            Settled::Done(_) if phase == Phase::Starting => {
+                self.runs[key].phase = Phase::Running(now);
+            }
+            Settled::Done(_) => {}
+            Settled::Unknown => self.start_unanswered(now, key),
+            Settled::Replaced => {}
+            Settled::NotSent => self.not_started(now, key, "not sent"),
+            Settled::Unreachable => self.not_started(now, key, "no connection"),
+            Settled::Rejected(rejection, _) => self.start_rejected(now, key, rejection),
+        }
+    }
+
+    fn start_unanswered(&mut self, now: Instant, key: RunKey) {
+        let run = &mut self.runs[key];
+        if run.phase == Phase::Starting {
+            run.phase = Phase::Doubtful;
+        }
+        let endpoint = run.endpoint;
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.next_hold = now;
+        }
+        self.note_not_started(key, "no answer");
+    }
+
+    fn start_rejected(&mut self, now: Instant, key: RunKey, rejection: Rejection) {
+        let endpoint = &mut self.endpoints[self.runs[key].endpoint];
+        let number = self.runs[key].number;
+        match rejection {
+            Rejection::Fenced => self.deposed = true,
+            Rejection::Unhealthy => endpoint.shunned_until = now + UNHEALTHY_PAUSE,
+            Rejection::NoRoom => endpoint.shunned_until = now + FULL_PAUSE,
+            Rejection::StaleNumber => {
+                let task = self.runs[key].task;
+                if let Some(task) = task
+                    && let Some(place) = self.jobs[task.job].task_mut(task)
+                {
+                    place.last_run = place.last_run.max(number + NUMBER_STEP);
+                }
+            }
+            Rejection::Malformed => endpoint.shunned_until = now + UNHEALTHY_PAUSE,
+            Rejection::NoPermission => self.drop_ticket(key),
+            Rejection::LeaseOver => {}
+        }
+        self.pause_task(now, key, rejection);
+        self.not_started(now, key, rejection.as_str());
+    }
+
+    /// Keeps a task back that would be rejected again at once, whichever endpoint is next.
+    fn pause_task(&mut self, now: Instant, key: RunKey, rejection: Rejection) {
+        let pause = match rejection {
+            Rejection::Malformed => REJECTED_PAUSE,
+            Rejection::NoPermission if self.asks_for(key) => return,
+            Rejection::NoPermission => REJECTED_PAUSE,
+            Rejection::Fenced
+            | Rejection::LeaseOver
+            | Rejection::NoRoom
+            | Rejection::StaleNumber
+            | Rejection::Unhealthy => return,
+        };
+        let task = self.runs[key].task;
+        if let Some(task) = task
+            && let Some(place) = self.jobs[task.job].task_mut(task)
+        {
+            place.not_before = now + pause;
+        }
+    }
+
+    /// Returns whether permission is asked for before a run starts.
+    fn asks_for(&self, key: RunKey) -> bool {
+        let task = self.runs[key].task;
+        task.is_some_and(|task| self.advice_of(task.job).is_some())
+    }
+
+    fn drop_ticket(&mut self, key: RunKey) {
+        let run = &self.runs[key];
+        if let Some(task) = run.task {
+            self.permissions.drop_ticket(task.into(), run.endpoint);
+        }
+    }
+
+    fn not_started(&mut self, now: Instant, key: RunKey, reason: &'static str) {
+        self.note_not_started(key, reason);
+        if let Some(task) = self.remove_run(now, key) {
+            self.drop_if_over(now, task.job);
+        }
+    }
+
+    fn note_not_started(&mut self, key: RunKey, reason: &'static str) {
+        let run = &self.runs[key];
+        self.notes.push(Note::NotStarted {
+            name: run.name.clone(),
+            number: run.number,
+            endpoint: self.endpoint_id(run.endpoint),
+            reason,
+        });
+    }
+
+    /// Takes what became of an order to stop.
+    pub fn stopped(&mut self, now: Instant, key: RunKey, settled: Settled) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        let endpoint = run.endpoint;
+        run.phase = match settled {
+            Settled::Done(_) => Phase::StopAcknowledged(now),
+            _ => Phase::Stopping(now + RETRY_PAUSE),
+        };
+        if let Settled::Rejected(Rejection::Fenced, _) = settled {
+            self.deposed = true;
+        }
+        self.note_contact(now, endpoint, settled);
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint)
+            && matches!(settled, Settled::Done(_))
+        {
+            endpoint.next_hold = now;
+        }
+    }
+
+    /// Takes what became of an order to hold that was sent at `sent`.
+    pub fn held(&mut self, now: Instant, key: EndpointKey, sent: Instant, held: Held) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        if endpoint.hold_sent == Some(sent) {
+            endpoint.hold_sent = None;
+        }
+        match held {
+            Held::Not(settled) => {
+                endpoint.next_hold = now + RETRY_PAUSE;
+                if let Settled::Rejected(Rejection::Fenced, _) = settled {
+                    self.deposed = true;
+                }
+                self.note_contact(now, key, settled);
+            }
+            Held::Reported(reply) => {
+                if reply.born.is_some_and(|born| born < endpoint.report.born) {
+                    return;
+                }
+                let renewed = reply.born.filter(|&born| born > endpoint.report.born);
+                if let Some(born) = renewed {
+                    self.reborn(now, key, born);
+                    return;
+                }
+                endpoint.acknowledged_there = endpoint.acknowledged_sent;
+                self.note_contact(now, key, Settled::Done(Some(reply.clock_ms)));
+                self.take_ends(now, key, &reply.ended);
+                self.take_running(now, key, sent, &reply.running);
+                self.order_next_hold(now, key);
+            }
+        }
+    }
+
+    /// Starts over with an endpoint that has begun another life under its identity.
+    fn reborn(&mut self, now: Instant, key: EndpointKey, born: u64) {
+        let mut report = self.endpoints[key].report.clone();
+        report.born = born;
+        report.clock_ms = 0;
+        self.set_endpoint(now, report);
+    }
+
+    /// Takes what an answer, or its absence, tells about the endpoint itself.
+    pub(super) fn note_contact(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        settled: Settled,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        match settled {
+            Settled::Done(clock) | Settled::Rejected(_, clock) => {
+                if let Some(clock_ms) = clock {
+                    endpoint.read_clock(clock_ms, now);
+                }
+                if let Contact::Lost(_) = endpoint.contact {
+                    endpoint.next_hold = now;
+                    self.notes.push(Note::EndpointRegained {
+                        endpoint: endpoint.report.id.clone(),
+                    });
+                    endpoint.contact = Contact::Live;
+                }
+            }
+            Settled::Unknown | Settled::Unreachable => {
+                if !matches!(endpoint.contact, Contact::Lost(_)) {
+                    endpoint.contact = Contact::Lost(now);
+                    self.notes.push(Note::EndpointLost {
+                        endpoint: endpoint.report.id.clone(),
+                        reason: "no answer",
+                        runs: endpoint.runs.len(),
+                    });
+                }
+            }
+            Settled::Replaced => {
+                self.end_life(now, key, "another endpoint answers there");
+            }
+            Settled::NotSent => {}
+        }
+    }
+
+    fn take_ends(&mut self, now: Instant, key: EndpointKey, ended: &[EndRow]) {
+        for row in ended {
+            let endpoint = &mut self.endpoints[key];
+            if row.sequence <= endpoint.seen {
+                continue;
+            }
+            endpoint.seen = row.sequence;
+            if row.how == End::Done {
+                endpoint.note_success();
+            }
+            let id = endpoint.report.id.clone();
+            self.notes.push(Note::Ended {
+                name: row.name.clone(),
+                number: row.number,
+                endpoint: id,
+                end: row.how,
+            });
+            self.take_end(now, key, row);
+        }
+    }
+
+    fn take_end(&mut self, now: Instant, key: EndpointKey, row: &EndRow) {
+        if let Some(run) = self.find_run(key, &row.name, row.number) {
+            if row.how == End::Done {
+                self.learn_run_time(now, run);
+            }
+            self.remove_run(now, run);
+        }
+        let Some(task) = self.find_task(&row.name) else {
+            return;
+        };
+        let end = Ended {
+            number: row.number,
+            how: row.how,
+            checkpoint: &row.checkpoint,
+            endpoint: key,
+        };
+        self.end_task(now, task, &end);
+        let Some(job) = self.jobs.get(task.job) else {
+            return;
+        };
+        if !job.is_saved() {
+            let unsaved = Unsaved {
+                end: row.sequence,
+                job: task.job,
+                generation: job.generation,
+            };
+            self.endpoints[key].unsaved.push(unsaved);
+        }
+        self.drop_if_over(now, task.job);
+    }
+
+    fn take_running(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        sent: Instant,
+        running: &[Row],
+    ) {
+        let mut listed = Vec::with_capacity(running.len());
+        for row in running {
+            match self.find_run(key, &row.name, row.number) {
+                Some(run) => {
+                    listed.push(run);
+                    self.note_running(now, run, row);
+                }
+                None => listed.extend(self.adopt(now, key, row)),
+            }
+        }
+        let missing: Vec<RunKey> = self.endpoints[key]
+            .runs
+            .iter()
+            .copied()
+            .filter(|run| !listed.contains(run))
+            .collect();
+        for run in missing {
+            self.note_missing(now, run, sent);
+        }
+        let endpoint = &mut self.endpoints[key];
+        if endpoint.contact == Contact::Unseen {
+            endpoint.contact = Contact::Live;
+        }
+    }
+
+    fn note_running(&mut self, now: Instant, key: RunKey, row: &Row) {
+        let run = &mut self.runs[key];
+        run.percent = row.percent;
+        run.percent_at = now;
+        run.gauge = row.gauge;
+        if matches!(
+            run.phase,
+            Phase::Inherited | Phase::Starting | Phase::Doubtful
+        ) {
+            run.phase = Phase::Running(now);
+        }
+        if row.checkpoint.is_empty() {
+            return;
+        }
+        let task = run.task;
+        if let Some(task) = task
+            && let Some(place) = self.jobs[task.job].task_mut(task)
+        {
+            row.checkpoint.clone_into(&mut place.checkpoint);
+        }
+    }
+
+    fn note_missing(&mut self, now: Instant, key: RunKey, sent: Instant) {
+        let run = &self.runs[key];
+        match run.phase {
+            // The endpoint has seen this leader's token, so the start can't come later.
+            Phase::Inherited => {
+                self.release(now, key, "not started by an earlier leader");
+            }
+            // It wasn't there when asked, and must not come later.
+            Phase::Doubtful if sent > run.sent_at => {
+                self.stop(now, key, "its start got no answer");
+            }
+            phase => {
+                if phase.settled_at().is_some_and(|at| at < sent) {
+                    self.release(now, key, "not listed by its endpoint");
+                }
+            }
+        }
+    }
+
+    /// Takes over a run that this leader didn't start, or has it stopped.
+    fn adopt(&mut self, now: Instant, key: EndpointKey, row: &Row) -> Option<RunKey> {
+        let task = self.find_task(&row.name);
+        let wanted = task.filter(|&task| self.is_wanted(task));
+        let (reserved, demand) = task.map_or_else(Default::default, |task| {
+            let step = &self.jobs[task.job].record.spec.steps[task.step as usize];
+            (step.reserved(), step.demand)
+        });
+        let run = self.runs.insert(Run {
+            name: row.name.clone(),
+            number: row.number,
+            task,
+            endpoint: key,
+            reserved,
+            demand,
+            phase: Phase::Running(now),
+            sent_at: now,
+            is_own: false,
+            percent: row.percent,
+            percent_at: now,
+            gauge: row.gauge,
+            pace: 100,
+            // An earlier leader may have slowed it down.
+            pace_told: false,
+        });
+        self.attach(run, task, key, reserved, demand);
+        let endpoint = self.endpoint_id(key);
+        if wanted.is_some() {
+            self.notes.push(Note::Adopted {
+                name: row.name.clone(),
+                number: row.number,
+                endpoint,
+            });
+            self.note_running(now, run, row);
+        } else {
+            self.stop(now, run, "no such task is to run");
+        }
+        Some(run)
+    }
+
+    /// Enters a run at its endpoint, its task and its workspace.
+    pub(super) fn attach(
+        &mut self,
+        run: RunKey,
+        task: Option<TaskRef>,
+        key: EndpointKey,
+        reserved: Resource,
+        demand: Resource,
+    ) {
+        let number = self.runs[run].number;
+        let endpoint = &mut self.endpoints[key];
+        endpoint.runs.insert(run);
+        endpoint.used.add(&reserved);
+        let Some(task) = task else {
+            return;
+        };
+        let job = &mut self.jobs[task.job];
+        if let Some(workspace) = &job.record.workspace {
+            self.usage
+                .entry(workspace.clone())
+                .or_default()
+                .add(&demand);
+        }
+        if job.state == crate::job::State::Queued {
+            job.state = crate::job::State::Running;
+            job.touch(self.began);
+        }
+        if let Some(place) = job.task_mut(task) {
+            place.runs.push(run);
+            place.last_run = place.last_run.max(number);
+        }
+    }
+
+    /// Returns whether a task may have one more run.
+    fn is_wanted(&self, task: TaskRef) -> bool {
+        let job = &self.jobs[task.job];
+        !job.state.is_final()
+            && job
+                .task(task)
+                .is_some_and(super::super::live::Task::is_waiting)
+    }
+
+    pub(super) fn find_run(
+        &self,
+        endpoint: EndpointKey,
+        name: &Name,
+        number: u64,
+    ) -> Option<RunKey> {
+        let endpoint = self.endpoints.get(endpoint)?;
+        endpoint.runs.iter().copied().find(|&key| {
+            let run = &self.runs[key];
+            run.number == number && run.name == *name
+        })
+    }
+
+    pub(super) fn find_task(&self, name: &Name) -> Option<TaskRef> {
+        let job = *self.by_job.get(&name.job)?;
+        let task = TaskRef {
+            job,
+            occurrence: name.occurrence,
+            step: name.step,
+            index: name.index,
+        };
+        self.jobs[job].task(task).map(|_| task)
+    }
+}
--- a/crates/core/src/job/scheduler/wave.rs
+++ b/crates/core/src/job/scheduler/wave.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::capacity::HostState;
+use super::hosts::HostState;
 use super::{Command, Note, Scheduler};
 use crate::job::endpoint::Contact;
 use crate::job::live::Task;
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -570,3 +570,22 @@
     let after = started_at.map(|at| at.saturating_since(sent));
     assert!(after.is_some_and(|after| after >= 2 * SECOND), "{after:?}");
 }
+
+/// Load: a burst comes to a new leader right after idle hosts left their pool.
+#[test]
+fn a_new_leader_fetches_hosts_while_old_registrations_linger() {
+    let mut world = world_with_spare(9, 3);
+    while world.seen.moves.len() < 8 {
+        world.pass(SECOND / 20);
+    }
+    world.elect(false);
+    world.submit("a", spec(vec![step(64, 2_000, 1_500)]));
+    let began = world.now;
+    world.pass(SECOND);
+    let fetched = world.seen.moves.iter().filter(|(_, _, pool)| pool == "a");
+    assert!(
+        fetched.count() >= 3,
+        "within {:?}",
+        world.now.saturating_since(began)
+    );
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -98,7 +98,7 @@
     births: u64,
     ticks: u64,
     /// Registrations of endpoints that are gone, and when they lapse.
-    lapsing: Vec<(Instant, String)>,
+    lapsing: Vec<(Instant, Report)>,
 }
 
 /// Returns the options that a daemon uses.
@@ -338,6 +338,9 @@
                     .set_endpoint(self.now, endpoint.report.clone());
             }
         }
+        for (_, report) in &self.lapsing {
+            self.scheduler.set_endpoint(self.now, report.clone());
+        }
         for (id, record) in &self.records {
             if self.over.contains(id) {
                 self.scheduler.note_finished(self.now, id);
@@ -443,8 +446,8 @@
         let now = self.now;
         let (due, lapsing) = self.lapsing.drain(..).partition(|(at, _)| *at <= now);
         self.lapsing = lapsing;
-        for (_, id) in due {
-            self.scheduler.unlist_endpoint(now, &id);
+        for (_, report) in due {
+            self.scheduler.unlist_endpoint(now, &report.id);
         }
     }
 
@@ -487,7 +490,8 @@
                 "{name} is taken away under a task that lasts"
             );
             assert!(endpoint.live.is_empty(), "{name} is taken away under a run");
-            self.lapsing.push((self.now + REGISTRATION, id));
+            self.lapsing
+                .push((self.now + REGISTRATION, endpoint.report));
         }
         let until = self.now + Duration::from_millis(span_ms);
         self.busy_hosts
