Measure what the leader's decisions on jobs cost at three sizes

Cause: the cost of a decision at 49, 350 and 8,100 hosts was asked for and not known. Change: `rhubarbrill-measure -- job` drives the scheduler with every endpoint at work.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -6,6 +6,7 @@
 mod demand;
 mod deployment;
 mod fifo;
+mod job;
 mod share;
 mod spare;
 mod stats;
@@ -25,6 +26,7 @@
 #[argh(subcommand)]
 enum Command {
     Cost(cost::Args),
+    Job(job::Args),
     Share(share::Args),
     Spare(spare::Args),
     Wave(wave::Args),
@@ -34,6 +36,7 @@
     let args: Args = argh::from_env();
     match args.command {
         Command::Cost(args) => cost::run(&args),
+        Command::Job(args) => job::run(&args),
         Command::Share(args) => share::run(&args),
         Command::Spare(args) => spare::run(&args),
         Command::Wave(args) => wave::run(&args),
