--- a/crates/rhubarbrilld/tests/jobs.rs
+++ b/crates/rhubarbrilld/tests/jobs.rs
@@ -353,6 +353,8 @@
 #[case::silent(|link: &Link| link.freeze(Fresh::Freeze))]
 fn an_entry_host_without_the_store_hands_jobs_on(#[case] harm: fn(&Link)) {
     let mut deployment = deploy(2, RUN_TIME);
+    // One of these leads; the one without the store couldn't hand on to itself.
+    deployment.leader();
     let link = Link::start(deployment.users.store());
     let addresses = free_addresses();
     let (folder, users) = (&deployment.folder, &deployment.users);
@@ -365,7 +367,8 @@
     std::thread::sleep(Duration::from_secs(2));
     for number in 0..3 {
         let answer = apart.call("POST", &id(number), "k", &two_steps(1));
-        assert_eq!(answer.status, 200, "{answer:?}");
+        let log = apart.read_log(folder);
+        assert_eq!(answer.status, 200, "{answer:?}, log: {log}");
     }
     for number in 0..3 {
         until("the job is shown as completed", || {
@@ -384,6 +387,8 @@
 #[test]
 fn a_key_that_the_leader_does_not_know_is_not_handed_on() {
     let deployment = deploy(2, RUN_TIME);
+    // One of these leads; the one without the store couldn't hand on to itself.
+    deployment.leader();
     let link = Link::start(deployment.users.store());
     let addresses = free_addresses();
     let (folder, users) = (&deployment.folder, &deployment.users);
@@ -403,3 +408,41 @@
     assert_eq!(answer.status, 503, "{answer:?}");
     assert!(deployment.users.ran().is_empty());
 }
+
+/// Load: bursts with pauses, so that hosts come and go, while leaders change.
+#[test]
+fn no_host_gets_orders_from_two_leaders_shortly_after_each_other() {
+    let mut deployment = deploy(3, Duration::from_millis(150));
+    deployment.users.let_hosts_move();
+    for _ in 0..5 {
+        deployment
+            .users
+            .add_endpoint("a", Duration::from_millis(150));
+    }
+    deployment.users.configure(2, "a", &["k"]);
+    for round in 0..4 {
+        for number in 0..6 {
+            let entry = &deployment.entries[number % deployment.entries.len()];
+            let id = id(round * 6 + number);
+            // A process that has just woken up refuses until it has heard of the store.
+            until("the job is accepted", || {
+                entry.call("POST", &id, "k", &two_steps(60)).status == 200
+            });
+        }
+        std::thread::sleep(Duration::from_millis(900));
+        let leader = deployment.leader();
+        if round % 2 == 0 {
+            // Longer than its lease: another leads when it wakes.
+            deployment.entries[leader].signal("STOP");
+            std::thread::sleep(Duration::from_millis(1_900));
+            deployment.entries[leader].signal("CONT");
+        } else {
+            deployment.entries[leader].signal("TERM");
+            deployment.entries[leader].wait();
+            deployment.entries.remove(leader);
+        }
+    }
+    deployment.until_completed(24);
+    assert!(deployment.users.moved_hosts() >= 4);
+    assert_eq!(deployment.users.violations(), Vec::<String>::new());
+}
--- a/crates/rhubarbrilld/tests/soak/deployment.rs
+++ b/crates/rhubarbrilld/tests/soak/deployment.rs
@@ -60,6 +60,7 @@
 impl Deployment {
     fn start(random: &mut ChaCha8Rng) -> Self {
         let mut users = Users::start();
+        users.let_hosts_move();
         let mut endpoint_links = Vec::new();
         for _ in 0..ENDPOINTS {
             let run_time = Duration::from_millis(random.random_range(200..3_000));
--- a/crates/standin/src/users.rs
+++ b/crates/standin/src/users.rs
@@ -81,6 +81,17 @@
         self.shared.lock().allowed = Some(allowed);
     }
 
+    /// Lets hosts change their pools, and adds a pool whose hosts are switched off to each
+    /// configuration.
+    pub fn let_hosts_move(&self) {
+        self.shared.lock().hosts_move = true;
+    }
+
+    /// Returns how many hosts have been given an order.
+    pub fn moved_hosts(&self) -> usize {
+        self.shared.lock().orders.len()
+    }
+
     /// Starts an endpoint whose runs take `run_time` each, registers it and returns its
     /// identity.
     pub fn add_endpoint(&mut self, pool: &str, run_time: Duration) -> String {
@@ -129,6 +140,14 @@
     pub fn configure(&self, version: u64, pool: &str, keys: &[&str]) {
         let advice = json!({"decide-ms": 20, "period-ms": 5, "valid-ms": 3_000});
         let has_policy = self.shared.lock().allowed.is_some();
+        let mut services =
+            vec![json!({"name": pool, "rejects-overload": true, "standby": false})];
+        if self.shared.lock().hosts_move {
+            let standby = hosts::STANDBY;
+            services.push(
+                json!({"name": standby, "rejects-overload": true, "standby": true}),
+            );
+        }
         let value = json!({
             "version": version,
             "routes": [{
@@ -136,7 +155,7 @@
                 "attempts": 2, "stretch": 1.6, "target-latency-ms": 600, "public": false,
                 "advice": if has_policy { advice } else { Value::Null },
             }],
-            "services": [{"name": pool, "rejects-overload": true, "standby": false}],
+            "services": services,
             "limits": {"max-body-bytes": 4096},
             "tenants": [{"name": "w", "api-keys": keys, "weight": 100,
                 "max-count": {"cpu": 0, "mem-mb": 0, "gpu": 0}}],
--- a/crates/standin/src/users/front.rs
+++ b/crates/standin/src/users/front.rs
@@ -22,6 +22,8 @@
     pub(crate) path: String,
     pub(crate) query: String,
     pub(crate) target: Option<String>,
+    /// Who gives an order for a host.
+    pub(crate) holder: String,
     pub(crate) body: Value,
 }
 
@@ -95,6 +97,12 @@
         target: target
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned),
+        holder: head
+            .headers
+            .get("x-duty-holder")
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("")
+            .to_owned(),
         body: serde_json::from_slice(&body).unwrap_or_default(),
     };
     let Some((status, value)) = answer(shared, call).await else {
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -8,9 +8,14 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 
+use super::hosts::STANDBY;
+
 /// When the first life of each endpoint began, in milliseconds since the Unix epoch.
 const FIRST_BIRTH_MS: u64 = 1_000;
 
+/// Time in which two processes may not both give orders to a host.
+const HOLDER_PAUSE: Duration = Duration::from_secs(3);
+
 /// How the store behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Trouble {
@@ -107,6 +112,10 @@
     /// The endpoints that the placement policy allows, if there is a policy.
     pub(crate) allowed: Option<BTreeSet<String>>,
     pub(crate) most_at_once: usize,
+    /// Whether hosts change their pools when they are told to.
+    pub(crate) hosts_move: bool,
+    /// The last order for each host: who gave it, and when.
+    pub(crate) orders: BTreeMap<String, (String, Instant)>,
     /// Tasks whose end `done` an endpoint was told to forget.
     pub(crate) noted: BTreeSet<String>,
     pub(crate) violations: Vec<String>,
@@ -125,6 +134,8 @@
             ran: Vec::new(),
             allowed: None,
             most_at_once: 0,
+            hosts_move: false,
+            orders: BTreeMap::new(),
             noted: BTreeSet::new(),
             violations: Vec::new(),
         }
@@ -279,6 +290,32 @@
         self.register(id);
     }
 
+    /// Moves an endpoint's host to another pool, where its next life begins at once.
+    pub(crate) fn move_endpoint(&mut self, id: &str, pool: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            pool.clone_into(&mut endpoint.pool);
+        }
+        self.restart(id);
+        if pool == STANDBY {
+            self.remove(&format!("servers/{id}"));
+        }
+    }
+
+    /// Notes an order for a host, and two that follow each other too soon.
+    pub(crate) fn note_order(&mut self, host: &str, holder: &str) {
+        let now = Instant::now();
+        let order = (holder.to_owned(), now);
+        if let Some((before, at)) = self.orders.insert(host.to_owned(), order)
+            && before != holder
+            && now - at < HOLDER_PAUSE
+        {
+            let after = (now - at).as_millis();
+            let what =
+                format!("{host}: an order of {holder} {after} ms after {before}'s");
+            self.violations.push(what);
+        }
+    }
+
     /// Notes a start that must never be.
     pub(crate) fn check_start(&mut self, task: &str, run: u64) {
         if self.noted.contains(task) {
