Let a new leader write anew how many jobs wait

Cause: a new leader took the numbers of waiting jobs in the store for none. If none waited, it wrote nothing, and every entry host went on telling the numbers of the leader before. Ruled out: callers' copies (they show what the store holds). Change: what the store holds is unknown until this leader has written. Test with processes: three jobs wait, the leader is killed, the jobs are cancelled; without the change 3 are told for good. Also read as a newcomer: one way in which the leader takes what it follows, one clearer name.

--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -87,7 +87,7 @@
                 return place;
             }
             let Some(endpoint) = self.choose(now, task, &room.endpoints) else {
-                if self.fits_anywhere_with_room(task) {
+                if self.lacks_only_room(task) {
                     room.too_large.push(reserved);
                 }
                 return place;
@@ -99,7 +99,7 @@
     }
 
     /// Returns whether nothing but want of room keeps a task off an endpoint of its pool.
-    fn fits_anywhere_with_room(&self, task: TaskRef) -> bool {
+    fn lacks_only_room(&self, task: TaskRef) -> bool {
         let step = self.step(task);
         step.requires.is_empty()
             && step.max_per_endpoint == 0
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -172,11 +172,21 @@
 struct Desk {
     scheduler: Scheduler,
     registrations: Registrations,
-    pending: Pending,
+    /// The numbers of waiting jobs that the store holds, as far as this leader knows.
+    pending: Option<Pending>,
     next_pending: Instant,
     next_hosts: Instant,
 }
 
+impl Desk {
+    /// Takes in what the leader alone follows.
+    fn learn<P>(&mut self, node: &Node<P>, changes: Changes) {
+        for change in changes.changes {
+            self.registrations.take(node, &mut self.scheduler, change);
+        }
+    }
+}
+
 async fn work<P: Platform>(
     shared: &Rc<Shared<P>>,
     kept: Kept,
@@ -244,17 +254,13 @@
     let mut desk = Desk {
         scheduler: new_scheduler(shared, &kept),
         registrations: Registrations::new(kept),
-        pending: Pending::default(),
+        pending: None,
         next_pending: now,
         next_hosts: now,
     };
     // Endpoints first: runs that jobs have there are matched with them.
     for read in [endpoints?, jobs?] {
-        take(
-            shared,
-            &mut desk,
-            Message::Followed(Section::Registrations, read),
-        );
+        desk.learn(&shared.node, read);
     }
     for message in early {
         take(shared, &mut desk, message);
@@ -276,10 +282,12 @@
     }
     if now >= desk.next_pending {
         desk.next_pending = now + PENDING_INTERVAL;
-        let queues = scheduler.pending();
-        if queues != desk.pending.queues {
-            desk.pending = Pending { queues };
-            save::pending(shared, desk.pending.clone());
+        let pending = Pending {
+            queues: scheduler.pending(),
+        };
+        if desk.pending.as_ref() != Some(&pending) {
+            desk.pending = Some(pending.clone());
+            save::pending(shared, pending);
         }
     }
 }
@@ -370,13 +378,9 @@
     let now = clock::now();
     let scheduler = &mut desk.scheduler;
     match message {
-        Message::Followed(_, changes) => {
-            for change in changes.changes {
-                desk.registrations.take(&shared.node, scheduler, change);
-            }
-        }
+        Message::Followed(_, changes) => desk.learn(&shared.node, changes),
         // The next look writes them again.
-        Message::PendingWritten(false) => desk.pending = Pending::default(),
+        Message::PendingWritten(false) => desk.pending = None,
         Message::PendingWritten(true) => {}
         Message::Started(run, settled) => scheduler.started(now, run, settled),
         Message::Stopped(run, settled) => scheduler.stopped(now, run, settled),
--- a/crates/rhubarbrilld/tests/jobs.rs
+++ b/crates/rhubarbrilld/tests/jobs.rs
@@ -124,6 +124,27 @@
     }
 }
 
+#[test]
+fn a_new_leader_counts_anew_what_waits() {
+    let mut deployment = deploy(2, RUN_TIME);
+    // No endpoint has so much room.
+    let job = json!({"spec": "s", "steps": [{"count": 1, "cpu": 64_000}]});
+    let leader = deployment.leader();
+    let other = deployment.entries.remove(1 - leader);
+    for number in 0..3 {
+        let answer = other.call("POST", &id(number), "k", &job);
+        assert_eq!(answer.status, 200);
+    }
+    let pending = || other.call("GET", "", "k", &Value::Null).body["pending"].clone();
+    until("all three are pending", || pending() == 3);
+    deployment.entries.clear();
+    for number in 0..3 {
+        let answer = other.call("DELETE", &id(number), "k", &Value::Null);
+        assert_eq!(answer.status, 200);
+    }
+    until("none is pending", || pending() == 0);
+}
+
 #[test]
 fn a_killed_leader_is_followed() {
     let mut deployment = deploy(3, Duration::from_millis(1_500));
