Keep tasks on endpoints that shut down while a stop order of their step is pending

What the leader believed was right and at most 50 ms old; it missed that its own order was still to take effect.

Change: an endpoint that shuts down keeps its tasks of a step, up to its end if need be, while a run of the step on another endpoint is ordered to stop and hasn't ended.

Test: job_evacuation, fails without the change (the task was stopped).

--- a/crates/core/src/job/scheduler/wave.rs
+++ b/crates/core/src/job/scheduler/wave.rs
@@ -335,13 +335,33 @@
                 if !running || !self.step(task).long_running {
                     continue;
                 }
-                if draining || self.may_be_unavailable(task) {
+                let leaves_anyway = draining && !self.has_pending_stop(task);
+                if leaves_anyway || self.may_be_unavailable(task) {
                     self.stop(now, run, "its host is being drained");
                 }
             }
         }
     }
 
+    /// Returns whether a run of the task's step on an endpoint that stays has been ordered
+    /// to stop and hasn't ended yet.
+    ///
+    /// Such an order may take effect seconds later. Until then, an endpoint that shuts
+    /// down keeps its tasks of the step, up to its end if need be.
+    fn has_pending_stop(&self, task: TaskRef) -> bool {
+        let Some(occurrence) = self.jobs[task.job].occurrences.get(&task.occurrence)
+        else {
+            return false;
+        };
+        let tasks = &occurrence.groups[task.step as usize].tasks;
+        tasks.iter().flat_map(|task| &task.runs).any(|&run| {
+            let run = &self.runs[run];
+            let endpoint = self.endpoints.get(run.endpoint);
+            run.phase.is_stopping()
+                && endpoint.is_some_and(|endpoint| !endpoint.registration.draining)
+        })
+    }
+
     /// Returns whether the scheduler may make one more task of a step unavailable by its
     /// own orders.
     pub(super) fn may_be_unavailable(&self, task: TaskRef) -> bool {
--- a/crates/core/tests/job_support/endpoint.rs
+++ b/crates/core/tests/job_support/endpoint.rs
@@ -28,6 +28,8 @@
     RepliesLost,
     /// Start orders get no reply and arrive after the given delay, in milliseconds.
     DelayedStarts(u64),
+    /// Stop orders get no reply and may still arrive later. Other orders are executed.
+    StopsPending,
 }
 
 /// An active run on an endpoint.
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -655,7 +655,7 @@
         };
         match endpoint.link {
             Link::Unreachable => OrderOutcome::Unreachable,
-            Link::Healthy => self.execute_start(order),
+            Link::Healthy | Link::StopsPending => self.execute_start(order),
             Link::RepliesLost => {
                 self.execute_start(order);
                 OrderOutcome::Unknown
@@ -708,6 +708,7 @@
         };
         match endpoint.link {
             Link::Unreachable => OrderOutcome::Unreachable,
+            Link::StopsPending => OrderOutcome::Unknown,
             Link::RepliesLost => {
                 endpoint.stop(self.now, order);
                 OrderOutcome::Unknown
@@ -739,7 +740,9 @@
                 endpoint.hold(self.now, order);
                 HoldOutcome::NotReported(OrderOutcome::Unknown)
             }
-            Link::Healthy | Link::DelayedStarts(_) => endpoint.hold(self.now, order),
+            Link::Healthy | Link::DelayedStarts(_) | Link::StopsPending => {
+                endpoint.hold(self.now, order)
+            }
         }
     }
 
