Size pools in every dimension that tasks reserve

Cause: a pool's need was counted in CPU only. Tasks that fill reserve no CPU at all and never made a pool grow.

Change: needed, held, expected and unplaced capacity are resources; a pool is short if one dimension is. A task that fits nowhere counts with the part of a host that it makes unusable for others like it. The forecast of arrivals moves to a module of its own.

--- a/crates/core/src/job/resource.rs
+++ b/crates/core/src/job/resource.rs
@@ -72,6 +72,39 @@
         spare(self.cpu, used.cpu) + spare(self.memory_mb, used.memory_mb)
     }
 
+    /// Returns the larger of two amounts in each dimension.
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
+    /// Returns the share of `capacity` that each task with this demand takes if as many of
+    /// them as possible fill a host: what is left beside them counts as taken.
+    ///
+    /// Returns the amount itself if it doesn't fit into `capacity`.
+    pub fn whole_share_of(&self, capacity: &Self) -> Self {
+        let count = self.count_that_fits(&Self::default(), capacity, u64::MAX);
+        if count == 0 || count == u64::MAX {
+            return *self;
+        }
+        let is_full = |one: u64, capacity: u64| one > 0 && capacity / one == count;
+        let share = |one: u64, capacity: u64| {
+            if is_full(one, capacity) {
+                capacity / count
+            } else {
+                one
+            }
+        };
+        Self {
+            cpu: share(self.cpu, capacity.cpu),
+            memory_mb: share(self.memory_mb, capacity.memory_mb),
+            gpu: share(self.gpu, capacity.gpu),
+        }
+    }
+
     /// Returns this amount multiplied by `times`.
     pub const fn times(&self, times: u64) -> Self {
         Self {
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -21,6 +21,7 @@
 mod capacity;
 mod event;
 mod finish;
+mod forecast;
 mod hosts;
 mod inherit;
 mod intake;
@@ -199,15 +200,14 @@
     removal_in_flight: bool,
     runs: SlotMap<RunKey, Run>,
     workspace_usage: BTreeMap<String, Resource>,
-    /// CPU demand of ready tasks that fit on no endpoint, by pool, as of the last
-    /// placement.
-    unplaced_cpu: BTreeMap<String, u64>,
+    /// Demand of ready tasks that fit on no endpoint, by pool, as of the last placement.
+    unplaced: BTreeMap<String, Resource>,
     saves_in_flight: usize,
     last_save_at: Instant,
     deposed: bool,
     hosts: hosts::Hosts,
     waves: wave::Waves,
-    arrivals: capacity::Arrivals,
+    arrivals: forecast::Arrivals,
     pace_control: pace::PaceControl,
     permissions: permission::Permissions,
     submission_rates: submission_rate::SubmissionRates,
@@ -232,13 +232,13 @@
             removal_in_flight: false,
             runs: SlotMap::with_key(),
             workspace_usage: BTreeMap::new(),
-            unplaced_cpu: BTreeMap::new(),
+            unplaced: BTreeMap::new(),
             saves_in_flight: 0,
             last_save_at: now,
             deposed: false,
             hosts: hosts::Hosts::default(),
             waves: wave::Waves::default(),
-            arrivals: capacity::Arrivals::default(),
+            arrivals: forecast::Arrivals::default(),
             pace_control: pace::PaceControl::default(),
             permissions: permission::Permissions::default(),
             submission_rates: submission_rate::SubmissionRates::default(),
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -5,83 +5,25 @@
 //! bursts. A pool grows as soon as its waiting and expected work doesn't fit, and gives
 //! up an idle host once keeping it costs more than moving it away and back.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::hosts::{Host, HostState, Move, MoveOrder};
 use super::{Command, Scheduler, SchedulerEvent, rank};
-use crate::job::Record;
+use crate::job::Resource;
 use crate::job::endpoint::Reachability;
 use crate::time::Instant;
 
-/// Length of the window over which arrivals are counted.
-const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_000);
-
-/// Time, in milliseconds, for which capacity is planned ahead. Moving a host takes most
-/// of it.
-const PLANNING_HORIZON_MS: u64 = 2_000;
-
 /// Time that a host must be idle before it leaves its pool.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(400);
 
-/// Share of a host's CPU that placement fills on average, in percent.
+/// Share of a host's capacity that placement fills on average, in percent.
 const FILL_PERCENT: u64 = 90;
 
 /// Divisor for waiting work that is already late. A pool grows only for this fraction of
 /// it, since late work earns little and can use capacity that other jobs leave.
 const LATE_WORK_DIVISOR: u64 = 4;
 
-/// Work that arrived recently, by pool.
-#[derive(Debug, Default)]
-pub(super) struct Arrivals {
-    recent: BTreeMap<String, VecDeque<Arrival>>,
-}
-
-/// The work of one submitted job.
-#[derive(Clone, Copy, Debug)]
-struct Arrival {
-    at: Instant,
-    /// Amount of work, in thousandths of a core times milliseconds.
-    work: u64,
-}
-
-impl Arrivals {
-    pub(super) fn record_job(&mut self, now: Instant, pool: &str, record: &Record) {
-        let steps = record.spec.steps.iter().filter(|step| !step.long_running);
-        let work = steps
-            .map(|step| {
-                let busy_ms = step.estimate_ms.min(PLANNING_HORIZON_MS);
-                u64::from(step.count) * step.reserved().cpu * busy_ms
-            })
-            .sum();
-        let recent = self.recent.entry(pool.to_owned()).or_default();
-        recent.push_back(Arrival { at: now, work });
-    }
-
-    /// Registers a pool that an endpoint has joined.
-    pub(super) fn register_pool(&mut self, pool: &str) {
-        self.recent.entry(pool.to_owned()).or_default();
-    }
-
-    /// Returns the CPU that arrivals at the current rate keep busy, in thousandths of a
-    /// core.
-    fn rate(&mut self, now: Instant, pool: &str) -> u64 {
-        let Some(recent) = self.recent.get_mut(pool) else {
-            return 0;
-        };
-        while recent
-            .front()
-            .is_some_and(|arrival| now.saturating_since(arrival.at) > ARRIVAL_WINDOW)
-        {
-            recent.pop_front();
-        }
-        let work: u64 = recent.iter().map(|arrival| arrival.work).sum();
-        work / u64::try_from(ARRIVAL_WINDOW.as_millis())
-            .unwrap_or(1)
-            .max(1)
-    }
-}
-
 /// Whether a pool can use a host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Availability {
@@ -93,20 +35,34 @@
     Unavailable,
 }
 
-/// CPU that a pool needs and holds, in thousandths of a core.
+/// Capacity that a pool needs and holds.
 #[derive(Clone, Copy, Debug, Default)]
 struct Balance {
-    needed: u64,
-    held: u64,
+    needed: Resource,
+    held: Resource,
 }
 
 impl Balance {
-    /// Returns the share of the needed CPU that the pool holds, in thousandths.
-    const fn coverage_permille(self) -> u64 {
-        if self.needed == 0 {
-            return u64::MAX;
-        }
-        self.held * 1_000 / self.needed
+    /// Returns the share of the needed capacity that the pool holds, in thousandths, in
+    /// the dimension that is covered least.
+    fn coverage_permille(&self) -> u64 {
+        let covered = |held: u64, needed: u64| {
+            (held * 1_000).checked_div(needed).unwrap_or(u64::MAX)
+        };
+        covered(self.held.cpu, self.needed.cpu)
+            .min(covered(self.held.memory_mb, self.needed.memory_mb))
+            .min(covered(self.held.gpu, self.needed.gpu))
+    }
+
+    /// Returns whether the pool holds less than it needs.
+    const fn is_short(&self) -> bool {
+        !self.needed.is_at_most(&self.held)
+    }
+
+    /// Returns whether the pool still holds what it needs after a host with `capacity`
+    /// has left.
+    fn can_spare(&self, capacity: &Resource) -> bool {
+        capacity.fits(&self.needed, &self.held)
     }
 }
 
@@ -121,19 +77,21 @@
         let mut balances: BTreeMap<String, Balance> = BTreeMap::new();
         for pool in &self.configuration.pools {
             if !pool.standby {
-                let expected = self.arrivals.rate(now, &pool.name);
-                let needed = expected * 100 / FILL_PERCENT;
-                balances.insert(pool.name.clone(), Balance { needed, held: 0 });
+                let expected = self.arrivals.expected(now, &pool.name);
+                let needed = with_unfilled_share(&expected);
+                let held = Resource::default();
+                balances.insert(pool.name.clone(), Balance { needed, held });
             }
         }
         let outstanding = self.outstanding(now);
-        for (pool, cpu) in outstanding {
+        for (pool, outstanding) in outstanding {
             if let Some(balance) = balances.get_mut(&pool) {
-                balance.needed = balance.needed.max(cpu.transient * 100 / FILL_PERCENT);
-                balance.needed += cpu.long_running;
+                let transient = with_unfilled_share(&outstanding.transient);
+                balance.needed = balance.needed.max(&transient);
+                balance.needed.add(&outstanding.long_running);
             }
         }
-        let mut joining: BTreeMap<String, u64> = BTreeMap::new();
+        let mut joining: BTreeMap<String, Resource> = BTreeMap::new();
         for host in self.hosts.list.values() {
             let pool = self
                 .hosts
@@ -144,19 +102,21 @@
                 continue;
             };
             match self.availability(host) {
-                Availability::Serving => balance.held += host.capacity.cpu,
+                Availability::Serving => balance.held.add(&host.capacity),
                 Availability::Joining => {
-                    balance.held += host.capacity.cpu;
-                    *joining.entry(pool.clone()).or_default() += host.capacity.cpu;
+                    balance.held.add(&host.capacity);
+                    joining.entry(pool.clone()).or_default().add(&host.capacity);
                 }
                 Availability::Unavailable => {}
             }
         }
-        for (pool, &cpu) in &self.unplaced_cpu {
-            let joining = joining.get(pool).copied().unwrap_or(0);
+        for (pool, &unplaced) in &self.unplaced {
             if let Some(balance) = balances.get_mut(pool) {
-                let shortage = cpu.saturating_sub(joining);
-                balance.needed = balance.needed.max(balance.held + shortage);
+                let joining = joining.get(pool).copied().unwrap_or_default();
+                let mut needed = unplaced;
+                needed.subtract(&joining);
+                needed.add(&balance.held);
+                balance.needed = balance.needed.max(&needed);
             }
         }
         balances
@@ -187,7 +147,7 @@
         }
     }
 
-    /// Returns the CPU that unfinished jobs use now and need for the tasks that are
+    /// Returns the capacity that unfinished jobs use now and need for the tasks that are
     /// ready, by pool.
     fn outstanding(&self, now: Instant) -> BTreeMap<String, Outstanding> {
         let mut outstanding: BTreeMap<String, Outstanding> = BTreeMap::new();
@@ -207,11 +167,11 @@
                     } else {
                         waiting
                     };
-                    let cpu = (running + waiting) * step.reserved().cpu;
+                    let reserved = step.reserved().times(running + waiting);
                     if step.long_running {
-                        entry.long_running += cpu;
+                        entry.long_running.add(&reserved);
                     } else if job.is_ready(index, position) {
-                        entry.transient += cpu;
+                        entry.transient.add(&reserved);
                     }
                 }
             }
@@ -228,7 +188,7 @@
         loop {
             let short = balances
                 .iter()
-                .filter(|(_, balance)| balance.needed > balance.held)
+                .filter(|(_, balance)| balance.is_short())
                 .min_by_key(|(_, balance)| balance.coverage_permille());
             let Some((pool, balance)) = short else {
                 return;
@@ -261,9 +221,9 @@
                 let Some(balance) = balances.get(&host.pool) else {
                     return Some((0, host));
                 };
-                let spare = balance.held >= balance.needed + host.capacity.cpu;
-                (spare && self.is_host_idle(now, host, Duration::ZERO))
-                    .then_some((1, host))
+                (balance.can_spare(&host.capacity)
+                    && self.is_host_idle(now, host, Duration::ZERO))
+                .then_some((1, host))
             })
             .min_by_key(|&(cost, host)| (cost, host.name.clone()))
             .map(|(_, host)| host.name.clone())
@@ -303,7 +263,7 @@
             return;
         };
         let standby = standby.name.clone();
-        let idle: Vec<(String, String, u64)> = self
+        let idle: Vec<(String, String, Resource)> = self
             .hosts
             .list
             .values()
@@ -312,14 +272,15 @@
                     && self.hosts.accepts_orders(now, &host.name)
                     && self.is_host_idle(now, host, MIN_IDLE_TIME)
             })
-            .map(|host| (host.name.clone(), host.pool.clone(), host.capacity.cpu))
+            .map(|host| (host.name.clone(), host.pool.clone(), host.capacity))
             .collect();
-        for (host, pool, cpu) in idle {
+        for (host, pool, capacity) in idle {
             let Some(balance) = balances.get(&pool).copied() else {
                 continue;
             };
             // The last host of a pool stays for the next job.
-            if balance.held >= balance.needed.max(cpu) + cpu {
+            let needed = balance.needed.max(&capacity);
+            if (Balance { needed, ..balance }).can_spare(&capacity) {
                 self.issue_move(now, &host, &standby, balance, balances, commands);
             }
         }
@@ -339,10 +300,10 @@
         };
         let from = known.pool.clone();
         if let Some(source) = balances.get_mut(&from) {
-            source.held = source.held.saturating_sub(known.capacity.cpu);
+            source.held.subtract(&known.capacity);
         }
         if let Some(destination) = balances.get_mut(to) {
-            destination.held += known.capacity.cpu;
+            destination.held.add(&known.capacity);
         }
         self.mark_leaving(host);
         self.hosts.move_orders.insert(
@@ -356,8 +317,8 @@
             host: host.to_owned(),
             from,
             to: to.to_owned(),
-            needed_cpu: balance.needed,
-            held_cpu: balance.held,
+            needed: balance.needed,
+            held: balance.held,
         });
         commands.push(Command::Move(Move {
             host: host.to_owned(),
@@ -366,11 +327,20 @@
     }
 }
 
-/// CPU that unfinished jobs need, in thousandths of a core.
+/// Returns the capacity that a pool must hold for tasks that need `amount`.
+const fn with_unfilled_share(amount: &Resource) -> Resource {
+    Resource {
+        cpu: amount.cpu * 100 / FILL_PERCENT,
+        memory_mb: amount.memory_mb * 100 / FILL_PERCENT,
+        gpu: amount.gpu * 100 / FILL_PERCENT,
+    }
+}
+
+/// Capacity that unfinished jobs need.
 #[derive(Clone, Copy, Debug, Default)]
 struct Outstanding {
     /// For tasks that end on their own.
-    transient: u64,
+    transient: Resource,
     /// For long-running tasks.
-    long_running: u64,
+    long_running: Resource,
 }
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -1,6 +1,6 @@
 //! Events of the scheduler, for the log.
 
-use crate::job::{RunEnd, TaskName};
+use crate::job::{Resource, RunEnd, TaskName};
 
 /// A scheduling decision, or a change in the leader's view of runs and endpoints.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -129,11 +129,11 @@
         from: String,
         /// Name of the pool that it joins.
         to: String,
-        /// CPU needed by the pool that caused the move, in thousandths of a core. It is
-        /// the joined pool if that grows, or the left pool if that shrinks.
-        needed_cpu: u64,
-        /// CPU that the same pool holds before the move, in thousandths of a core.
-        held_cpu: u64,
+        /// Capacity needed by the pool that caused the move. It is the joined pool if that
+        /// grows, or the left pool if that shrinks.
+        needed: Resource,
+        /// Capacity that the same pool holds before the move.
+        held: Resource,
     },
     /// The maintenance of a host begins.
     HostMaintained {
--- a/crates/core/src/job/scheduler/hosts.rs
+++ b/crates/core/src/job/scheduler/hosts.rs
@@ -71,6 +71,14 @@
 }
 
 impl Hosts {
+    /// Returns the largest capacity that any host has, in each dimension.
+    pub(super) fn largest_capacity(&self) -> Resource {
+        let capacities = self.list.values().map(|host| host.capacity);
+        capacities.fold(Resource::default(), |largest, capacity| {
+            largest.max(&capacity)
+        })
+    }
+
     /// Returns whether no order, of this leader or an earlier one, is outstanding for a
     /// host.
     pub(super) fn accepts_orders(&self, now: Instant, host: &str) -> bool {
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -35,7 +35,7 @@
 impl Scheduler {
     pub(super) fn place(&mut self, now: Instant) {
         let mut open_pools = self.open_pools(now);
-        self.unplaced_cpu.clear();
+        self.unplaced.clear();
         for (rank, key) in self.ranked_jobs(now) {
             self.place_job(now, key, rank, &mut open_pools);
         }
@@ -76,7 +76,7 @@
             let left = &waiting[placed..];
             if let Some(&first) = left.first() {
                 if matches!(rank.class, Class::InTime | Class::LongRunning) {
-                    self.add_unplaced_cpu(&pool, first, left.len());
+                    self.add_unplaced(&pool, first, left.len());
                 }
                 self.preempt(now, rank, left, &open_pool.endpoints);
             }
@@ -120,13 +120,17 @@
             && self.is_within_limit(task, &step.demand)
     }
 
-    /// Adds the CPU demand of tasks that fit nowhere to `unplaced_cpu`, unless the
-    /// workspace's limit is what prevents their placement.
-    fn add_unplaced_cpu(&mut self, pool: &str, task: TaskRef, count: usize) {
+    /// Adds the demand of tasks that fit nowhere to `unplaced`, unless the workspace's
+    /// limit is what prevents their placement.
+    fn add_unplaced(&mut self, pool: &str, task: TaskRef, count: usize) {
         let demand = self.step(task).demand;
         if self.is_within_limit(task, &demand) {
-            let cpu = self.step(task).reserved().cpu * count as u64;
-            *self.unplaced_cpu.entry(pool.to_owned()).or_default() += cpu;
+            let host = self.hosts.largest_capacity();
+            let share = self.step(task).reserved().whole_share_of(&host);
+            self.unplaced
+                .entry(pool.to_owned())
+                .or_default()
+                .add(&share.times(count as u64));
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/job_capacity.rs
@@ -0,0 +1,55 @@
+//! Capacity of pools: hosts are ordered for what has arrived and what is about to arrive,
+//! in every dimension that tasks reserve.
+
+use std::time::Duration;
+
+use rhubarbrill_core::job::{Resource, Step};
+use rstest::rstest;
+
+mod job_support;
+
+use job_support::{CAPACITY, Simulation, configuration_with_spare, spec, step};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn simulation_with_spare(hosts: usize, spare: usize) -> Simulation {
+    let mut simulation = Simulation::new(configuration_with_spare(&["a"]));
+    simulation.add_hosts("a", hosts);
+    simulation.add_hosts("spare", spare);
+    simulation.run_for(SECOND / 5);
+    simulation
+}
+
+/// Demand of long-running tasks.
+struct MemoryCase {
+    /// CPU that a task reserves, in thousandths of a core.
+    cpu: u64,
+    /// Whether the tasks reserve memory only.
+    best_effort: bool,
+}
+
+/// Load pattern: long-running tasks that reserve most of a host's memory and little CPU.
+/// Each needs a host of its own.
+#[rstest]
+#[case::little_cpu(MemoryCase { cpu: 1_000, best_effort: false })]
+#[case::no_reserved_cpu(MemoryCase { cpu: 4_000, best_effort: true })]
+fn pool_grows_at_once_for_tasks_that_lack_memory(#[case] case: MemoryCase) {
+    let mut simulation = simulation_with_spare(1, 10);
+    let large = Step {
+        demand: Resource {
+            cpu: case.cpu,
+            memory_mb: CAPACITY.memory_mb * 3 / 4,
+            gpu: 0,
+        },
+        long_running: true,
+        best_effort: case.best_effort,
+        ..step(8, case.cpu, 0)
+    };
+    simulation.submit("a", spec(vec![large]));
+    simulation.run_for(3 * SECOND);
+    assert_eq!(
+        simulation.active_run_count(),
+        8,
+        "the hosts for all tasks were ordered at once"
+    );
+}
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -116,15 +116,17 @@
             host,
             from,
             to,
-            needed_cpu,
-            held_cpu,
+            needed,
+            held,
         } => {
             let fields = o!(
                 "host" => host,
                 "from" => from,
                 "to" => to,
-                "needed_cpu" => needed_cpu,
-                "held_cpu" => held_cpu,
+                "needed_cpu" => needed.cpu,
+                "held_cpu" => held.cpu,
+                "needed_memory_mb" => needed.memory_mb,
+                "held_memory_mb" => held.memory_mb,
             );
             event::log(out, Event::HostMoves, fields);
         }
