Acknowledge a repeated end of a closed task only once it is in the store

The last task of a job ended at 21.20 s while the store was away, so its end stayed unsaved. At 22.84 s the endpoint's registration had lapsed, the idle endpoint was removed, and with it the note that this end isn't in the store. At 22.90 s it registered again and reported the end a second time. The occurrence was closed, no task was found, and the end counted as needing no write: it was acknowledged. The term ended at 22.97 s without the write; the next leader found the task open and started it at 23.94 s.

Ruled out: the timeouts themselves (they only shifted the play; no write of this job was answered from 21.20 s to 22.97 s with any timeout); an order of an earlier leader.

Change: a reported end holds back its acknowledgement while its job isn't saved, whether or not its task is still open.

Test: job_store, fails without the change (the task starts again after it has completed).

--- a/crates/core/src/job/scheduler/reply.rs
+++ b/crates/core/src/job/scheduler/reply.rs
@@ -292,28 +292,29 @@
             }
             self.remove_run(now, run);
         }
-        let Some(task) = self.find_task(&reported.name) else {
-            return;
-        };
         let end = ReportedEnd {
             number: reported.number,
             outcome: reported.outcome,
             checkpoint: &reported.checkpoint,
             endpoint: key,
         };
-        self.handle_run_end(now, task, &end);
-        let Some(job) = self.jobs.get(task.job) else {
+        if let Some(task) = self.find_task(&reported.name) {
+            self.handle_run_end(now, task, &end);
+        }
+        // An end that is reported again may belong to an occurrence that is closed already,
+        // but not yet in the store.
+        let Some(&job) = self.jobs_by_id.get(&reported.name.job) else {
             return;
         };
-        if !job.is_saved() {
+        if !self.jobs[job].is_saved() {
             let unsaved = UnsavedEnd {
                 sequence: reported.sequence,
-                job: task.job,
-                generation: job.generation,
+                job,
+                generation: self.jobs[job].generation,
             };
             self.endpoints[key].unsaved_ends.push(unsaved);
         }
-        self.drop_if_finished(now, task.job);
+        self.drop_if_finished(now, job);
     }
 
     fn process_running(
