Let timeouts of store calls follow the store's response times

Cause: each call that reads a key, commits or renews a lease waited 700 ms for its answer.

Change: the timeout follows the mean response time and its deviation as in RFC 6298, within 200 and 700 ms, and doubles with each call in a row that gets no answer. A submission is given up after 1.4 s without an answer, as before, in place of two writes.

Tests: round_trip (table of histories); job_store: a write that took effect without an answer is made again at the stored revision.

--- a/crates/core/src/job/scheduler/save.rs
+++ b/crates/core/src/job/scheduler/save.rs
@@ -21,8 +21,8 @@
 /// more.
 const PROGRESS_ENTRIES: usize = 2;
 
-/// Maximum number of writes in flight. With several writes, a slow store doesn't delay
-/// starts.
+/// Maximum number of writes in flight. With several writes, a store that is slow or loses
+/// answers doesn't hold up the starts of a burst.
 const MAX_WRITES: usize = 4;
 
 /// Time after which the next write no longer waits for the one before. Until then changes
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod member;
 pub mod placement;
 pub mod retry;
+pub mod round_trip;
 pub mod route;
 pub mod spare;
 pub mod time;
--- a/crates/core/tests/job_store.rs
+++ b/crates/core/tests/job_store.rs
@@ -2,12 +2,51 @@
 
 use std::time::Duration;
 
+use rhubarbrill_core::job::scheduler::{Authority, Command, SaveOutcome};
+
 mod job_support;
 
 use job_support::{Simulation, configuration, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Load pattern: a write times out although it took effect. The write that follows finds
+/// another revision and is made again with that one, and the task starts once.
+#[test]
+fn write_that_took_effect_without_an_answer_is_repeated_at_the_stored_revision() {
+    let mut simulation = Simulation::new(configuration(&["a"]));
+    simulation.add_hosts("a", 1);
+    simulation.run_for(SECOND / 5);
+    simulation.submit("a", spec(vec![step(1, 1_000, 1_000)]));
+    let mut versions = Vec::new();
+    for outcome in [
+        SaveOutcome::Unknown,
+        SaveOutcome::Conflict(Vec::new()),
+        SaveOutcome::Saved(300),
+    ] {
+        simulation.now = simulation.now + SECOND / 10;
+        let (now, wall) = (simulation.now, simulation.wall_time());
+        for command in simulation.scheduler.poll(now, wall, Authority::Certain) {
+            let Command::Save(saves) = command else {
+                continue;
+            };
+            versions.push(saves[0].version);
+            let outcome = match &outcome {
+                SaveOutcome::Conflict(_) => {
+                    SaveOutcome::Conflict(vec![(saves[0].job, 200)])
+                }
+                other => other.clone(),
+            };
+            simulation
+                .scheduler
+                .handle_save_outcome(now, &saves, &outcome);
+        }
+    }
+    assert_eq!(versions, [0, 0, 200]);
+    simulation.run_for(SECOND / 2);
+    assert_eq!(simulation.observed.starts.len(), 1);
+}
+
 /// The last task of a job ends while the store is away, so that its end can't be saved. The
 /// endpoint's registration lapses and comes back, and the endpoint reports the end again,
 /// for a job that has no open task any more. The end must not be acknowledged, because the
--- a/crates/dispatch/src/front/submit.rs
+++ b/crates/dispatch/src/front/submit.rs
@@ -13,7 +13,7 @@
 use super::{Answer, forwarding};
 use crate::node::Node;
 use crate::platform::{
-    Bodies, CommitOutcome, Condition, Failure, Item, Platform, Store, Transaction, Write,
+    Bodies, CommitOutcome, Condition, Failure, Item, Platform, Transaction, Write,
 };
 use crate::view::decode;
 use crate::{clock, key};
@@ -25,6 +25,10 @@
 /// a watch within one second.
 const STORE_UNREACHABLE_AGE: Duration = Duration::from_millis(1_700);
 
+/// Time after which a submission whose writes get no answer is given up, so that the caller
+/// can send it to another entry host.
+const MAX_UNANSWERED_TIME: Duration = Duration::from_millis(1_400);
+
 /// Delay before the store is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -156,9 +160,10 @@
 ) -> SubmitOutcome {
     let mut revision = 0;
     let mut uncertain = false;
+    let give_up_at = deadline.min(clock::now() + MAX_UNANSWERED_TIME);
     while clock::now() < deadline {
         let transaction = submission_transaction(id, revision, value.clone());
-        match node.platform.store().commit(&transaction).await {
+        match node.commit(&transaction).await {
             Ok(CommitOutcome::Done(revision)) => {
                 node.metrics.store_write("done");
                 return SubmitOutcome::Accepted(revision);
@@ -177,7 +182,7 @@
             }
             Err(Failure::Unknown(_)) => {
                 node.metrics.store_write("unknown");
-                if uncertain || is_store_unreachable(node) {
+                if clock::now() >= give_up_at || is_store_unreachable(node) {
                     return SubmitOutcome::Unanswered;
                 }
                 uncertain = true;
@@ -264,7 +269,7 @@
             }],
             removals: Vec::new(),
         };
-        match node.platform.store().commit(&transaction).await {
+        match node.commit(&transaction).await {
             Ok(CommitOutcome::Done(_)) => return CancelOutcome::Done,
             Ok(CommitOutcome::Conflict(_) | CommitOutcome::LeaseNotFound) => {
                 revision = None;
@@ -330,7 +335,7 @@
     if let Some(state) = state.filter(|state| state.is_final()) {
         return Ok(Stored::Finished(state));
     }
-    if let Some(item) = node.platform.store().get(&key::job(id)).await? {
+    if let Some(item) = node.read(&key::job(id)).await? {
         let value = item.value.unwrap_or_default();
         return match decode(&value) {
             Ok(Submission::Refused) => Ok(Stored::Absent),
@@ -349,7 +354,7 @@
     node: &Node<P>,
     id: &str,
 ) -> Result<Option<State>, Failure> {
-    let item = node.platform.store().get(&key::state(id)).await?;
+    let item = node.read(&key::state(id)).await?;
     let value = item.and_then(|item| item.value);
     value
         .map(|value| decode(&value).map_err(Failure::NotDone))
--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -125,7 +125,7 @@
         ],
         removals: Vec::new(),
     };
-    let fencing_token = commit_until_certain(store, &transaction, &leader).await;
+    let fencing_token = commit_until_certain(node, &transaction, &leader).await;
     let Some(fencing_token) = fencing_token else {
         // If this call is lost, the unused lease expires.
         let _ = store.revoke(lease.id).await;
@@ -144,13 +144,13 @@
 
 /// Sends the transaction until it is certain whether it took effect. Returns its revision
 /// if it did; gives up after [`COMMIT_ATTEMPTS`].
-async fn commit_until_certain<S: Store>(
-    store: &S,
+async fn commit_until_certain<P: Platform>(
+    node: &Node<P>,
     transaction: &Transaction,
     leader: &[u8],
 ) -> Option<u64> {
     for _ in 0..COMMIT_ATTEMPTS {
-        match store.commit(transaction).await {
+        match node.commit(transaction).await {
             Ok(CommitOutcome::Done(revision)) => return Some(revision),
             Ok(CommitOutcome::Conflict(items)) => return won_revision(&items, leader),
             Ok(CommitOutcome::LeaseNotFound)
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -14,9 +14,7 @@
 use super::orders::notify;
 use super::recovery::{OrdersRecord, WaveRecord};
 use super::term::{Message, Shared};
-use crate::platform::{
-    CommitOutcome, Condition, Item, Platform, Store, Transaction, Write,
-};
+use crate::platform::{CommitOutcome, Condition, Item, Platform, Transaction, Write};
 use crate::view::Pending;
 use crate::{event, key};
 
@@ -66,7 +64,7 @@
         writes,
         removals,
     };
-    match shared.node.platform.store().commit(&transaction).await {
+    match shared.node.commit(&transaction).await {
         Ok(CommitOutcome::Done(revision)) => {
             shared.node.metrics.store_write("done");
             SaveOutcome::Saved(revision)
@@ -184,7 +182,7 @@
             writes: Vec::new(),
             removals: ids.iter().map(|id| key::state(id)).collect(),
         };
-        let committed = shared.node.platform.store().commit(&transaction).await;
+        let committed = shared.node.commit(&transaction).await;
         let done = matches!(committed, Ok(CommitOutcome::Done(_)));
         let fields = o!("jobs" => ids.len(), "removed" => done);
         event::log(&shared.node.log, Event::JobsRemoved, fields);
@@ -211,7 +209,7 @@
         writes,
         removals: Vec::new(),
     };
-    let committed = shared.node.platform.store().commit(&transaction).await;
+    let committed = shared.node.commit(&transaction).await;
     matches!(committed, Ok(CommitOutcome::Done(_)))
 }
 
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -485,7 +485,7 @@
             () = tokio::time::sleep(RENEW_INTERVAL) => {}
         }
         let sent = clock::now();
-        match shared.node.platform.store().renew(lease.id).await {
+        match shared.node.renew(lease.id).await {
             Ok(true) => validity.renew(sent, lease.ttl),
             Ok(false) => {
                 validity.end();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod platform;
 mod process;
 pub mod settings;
+mod store_call;
 mod sync;
 mod view;
 
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::Configuration;
+use rhubarbrill_core::round_trip::RoundTrip;
 use rhubarbrill_core::time::Instant;
 use slog::Logger;
 use tokio::sync::{Notify, mpsc};
@@ -30,6 +31,8 @@
     pub log: Logger,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Response times of the store.
+    pub store_round_trip: RefCell<RoundTrip>,
     /// Local view of the store.
     pub view: RefCell<View>,
     /// Notifies waiting tasks of each change of the view.
@@ -54,6 +57,7 @@
             settings,
             log,
             metrics,
+            store_round_trip: RefCell::default(),
             view: RefCell::default(),
             changed: Notify::new(),
             stopping,
--- a/crates/dispatch/src/platform.rs
+++ b/crates/dispatch/src/platform.rs
@@ -192,12 +192,13 @@
     reason = "futures run on a single-threaded executor and need no Send bound"
 )]
 pub trait Store {
-    /// Reads one key. Returns `None` if the key doesn't exist.
+    /// Reads one key, and waits for the answer until `timeout` has passed. Returns `None`
+    /// if the key doesn't exist.
     ///
     /// # Errors
     ///
     /// Returns an error if there is no usable answer.
-    async fn get(&self, key: &str) -> Result<Option<Item>, Failure>;
+    async fn get(&self, key: &str, timeout: Duration) -> Result<Option<Item>, Failure>;
 
     /// Reads a page of the items of a section whose keys follow `after`.
     ///
@@ -219,13 +220,18 @@
         wait: Duration,
     ) -> Result<Changes, Failure>;
 
-    /// Applies a transaction if all of its conditions hold.
+    /// Applies a transaction if all of its conditions hold, and waits for the answer until
+    /// `timeout` has passed.
     ///
     /// # Errors
     ///
     /// Returns an error if there is no usable answer. The variant tells whether the
     /// transaction may have taken effect.
-    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, Failure>;
+    async fn commit(
+        &self,
+        transaction: &Transaction,
+        timeout: Duration,
+    ) -> Result<CommitOutcome, Failure>;
 
     /// Grants a lease. The store may apply a different TTL than the requested one.
     ///
@@ -234,12 +240,13 @@
     /// Returns an error if there is no usable answer.
     async fn grant(&self, ttl: Duration) -> Result<Lease, Failure>;
 
-    /// Renews a lease. Returns `false` if the lease has already ended.
+    /// Renews a lease, and waits for the answer until `timeout` has passed. Returns
+    /// `false` if the lease has already ended.
     ///
     /// # Errors
     ///
     /// Returns an error if there is no usable answer.
-    async fn renew(&self, lease: u64) -> Result<bool, Failure>;
+    async fn renew(&self, lease: u64, timeout: Duration) -> Result<bool, Failure>;
 
     /// Ends a lease and removes the keys that are attached to it.
     ///
