Allow more writes of progress in flight while the store is slow

Cause: at most four writes, of about ten jobs each, were in flight. With response times of 200 to 500 ms that is 80 to 200 jobs a second, and a burst of the large site needs 400: each job is written three to four times.

Ruled out: the store's rate; writes go out every 30 ms at the soonest unless one is answered.

Change: 16 writes in flight.

--- a/crates/core/src/job/scheduler/save.rs
+++ b/crates/core/src/job/scheduler/save.rs
@@ -23,7 +23,7 @@
 
 /// Maximum number of writes in flight. With several writes, a store that is slow or loses
 /// answers doesn't hold up the starts of a burst.
-const MAX_WRITES: usize = 4;
+const MAX_WRITES: usize = 16;
 
 /// Time after which the next write no longer waits for the one before. Until then changes
 /// are collected, since each write has a cost.
--- a/crates/core/tests/job_store.rs
+++ b/crates/core/tests/job_store.rs
@@ -1,15 +1,46 @@
 //! Writes of progress to a store that is slow or loses answers.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{Authority, Command, SaveOutcome};
 
 mod job_support;
 
-use job_support::{Simulation, configuration, spec, step};
+use job_support::{CAPACITY, Simulation, configuration, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Jobs that arrive in the burst.
+const JOBS: usize = 120;
+
+/// Load pattern: a burst of 120 jobs in 0.4 s, while no write is answered. Each start waits
+/// for a write, so writes that wait for one another hold up all of the burst.
+#[test]
+fn writes_without_answers_do_not_hold_up_the_starts_of_a_burst() {
+    let mut simulation = Simulation::new(configuration(&["a"]));
+    simulation.add_hosts("a", 20);
+    simulation.run_for(SECOND / 5);
+    let mut written = BTreeSet::new();
+    for _ in 0..40 {
+        for _ in 0..JOBS / 40 {
+            simulation.submit("a", spec(vec![step(1, CAPACITY.cpu / 8, 1_000)]));
+        }
+        simulation.now = simulation.now + SECOND / 100;
+        let (now, wall) = (simulation.now, simulation.wall_time());
+        for command in simulation.scheduler.poll(now, wall, Authority::Certain) {
+            if let Command::Save(saves) = command {
+                written.extend(saves.into_iter().map(|save| save.id));
+            }
+        }
+    }
+    assert!(
+        written.len() >= JOBS * 9 / 10,
+        "{} of {JOBS} jobs were written",
+        written.len()
+    );
+}
+
 /// Load pattern: a write times out although it took effect. The write that follows finds
 /// another revision and is made again with that one, and the task starts once.
 #[test]
