Let timeouts of orders to endpoints follow their response times

Cause: an order without an answer was waited for during 700 ms, while endpoints answer within milliseconds.

Change: starts, stops and pace orders, and holds that don't wait, time out by the estimate that store calls use, within 300 and 700 ms. TCP sends a lost packet again after 200 ms.

--- a/crates/core/src/round_trip.rs
+++ b/crates/core/src/round_trip.rs
@@ -10,10 +10,6 @@
 /// Timeout before the first answer, and upper limit of the estimate.
 const MAX_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Lower limit of the estimate. A process that has used up its share of a core pauses for
-/// most of a tenth of a second.
-const MIN_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Divisor that gives the weight of the newest response time in the mean.
 const MEAN_WEIGHT: u32 = 8;
 
@@ -24,8 +20,10 @@
 const DEVIATIONS: u32 = 4;
 
 /// Estimate of a timeout from the response times of earlier calls.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct RoundTrip {
+    /// Lower limit of the estimate.
+    min_timeout: Duration,
     /// Moving average of the response times; `None` before the first answer.
     mean: Option<Duration>,
     /// Moving average of the deviation from `mean`.
@@ -35,12 +33,22 @@
 }
 
 impl RoundTrip {
+    /// Returns an estimate without any response times. It never falls below `min_timeout`.
+    pub const fn new(min_timeout: Duration) -> Self {
+        Self {
+            min_timeout,
+            mean: None,
+            deviation: Duration::ZERO,
+            timeouts: 0,
+        }
+    }
+
     /// Returns how long to wait for the answer to the next call.
     pub fn timeout(&self) -> Duration {
         let Some(mean) = self.mean else {
             return MAX_TIMEOUT;
         };
-        let estimate = (mean + self.deviation * DEVIATIONS).max(MIN_TIMEOUT);
+        let estimate = (mean + self.deviation * DEVIATIONS).max(self.min_timeout);
         let factor = 1_u32.checked_shl(self.timeouts).unwrap_or(u32::MAX);
         estimate.saturating_mul(factor).min(MAX_TIMEOUT)
     }
--- a/crates/core/tests/round_trip.rs
+++ b/crates/core/tests/round_trip.rs
@@ -33,7 +33,7 @@
 #[case::answer_after_losses(Case { history: &[Answered(4), Answered(4), Answered(4), Answered(4), TimedOut, TimedOut, Answered(4)], at_least: 200, at_most: 200 })]
 #[case::silent(Case { history: &[TimedOut; 40], at_least: 700, at_most: 700 })]
 fn timeout_follows_the_response_times(#[case] case: Case) {
-    let mut round_trip = RoundTrip::default();
+    let mut round_trip = RoundTrip::new(Duration::from_millis(200));
     for outcome in case.history {
         match outcome {
             Answered(ms) => round_trip.record_answer(Duration::from_millis(*ms)),
--- a/crates/dispatch/src/lead/orders.rs
+++ b/crates/dispatch/src/lead/orders.rs
@@ -2,12 +2,14 @@
 //! own.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
     Authority, Hold, HoldOutcome, OrderOutcome, Pace, PolicyQuestion, Start, Stop,
 };
 
 use super::term::{Message, Shared};
+use crate::clock;
 use crate::platform::{Endpoints, Platform, Policy};
 
 /// Sends an order to start a run, provided that the leadership is still certain.
@@ -15,7 +17,10 @@
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
         let settled = if is_certain(&shared) {
-            shared.node.platform.endpoints().start(&order).await
+            timed(&shared, async |endpoints, timeout| {
+                endpoints.start(&order, timeout).await
+            })
+            .await
         } else {
             OrderOutcome::NotSent
         };
@@ -29,7 +34,10 @@
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
         let settled = if is_certain(&shared) {
-            shared.node.platform.endpoints().stop(&order).await
+            timed(&shared, async |endpoints, timeout| {
+                endpoints.stop(&order, timeout).await
+            })
+            .await
         } else {
             OrderOutcome::NotSent
         };
@@ -43,7 +51,8 @@
 pub(super) fn hold<P: Platform>(shared: &Rc<Shared<P>>, order: Hold) {
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
-        let held = shared.node.platform.endpoints().hold(&order).await;
+        let timeout = shared.node.order_round_trip.borrow().timeout();
+        let held = shared.node.platform.endpoints().hold(&order, timeout).await;
         let name = match &held {
             HoldOutcome::Reported(_) => "done",
             HoldOutcome::NotReported(settled) => outcome(*settled),
@@ -59,7 +68,10 @@
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
         if is_certain(&shared) {
-            let settled = shared.node.platform.endpoints().pace(&order).await;
+            let settled = timed(&shared, async |endpoints, timeout| {
+                endpoints.pace(&order, timeout).await
+            })
+            .await;
             shared.node.metrics.order("pace", outcome(settled));
             notify(&shared, Message::Paced(order, settled));
         }
@@ -75,6 +87,31 @@
     });
 }
 
+/// Sends an order that is answered at once, with a timeout that follows the response times
+/// of earlier ones.
+async fn timed<P: Platform>(
+    shared: &Shared<P>,
+    send: impl AsyncFnOnce(&P::Endpoints, Duration) -> OrderOutcome,
+) -> OrderOutcome {
+    let timeout = shared.node.order_round_trip.borrow().timeout();
+    let sent = clock::now();
+    let settled = send(shared.node.platform.endpoints(), timeout).await;
+    let elapsed = clock::now().saturating_since(sent);
+    let mut round_trip = shared.node.order_round_trip.borrow_mut();
+    match settled {
+        OrderOutcome::Done(_) | OrderOutcome::Rejected(..) => {
+            round_trip.record_answer(elapsed);
+        }
+        OrderOutcome::Unknown if elapsed >= timeout => round_trip.record_timeout(),
+        // Nothing was sent, or the connection was closed.
+        OrderOutcome::Unknown
+        | OrderOutcome::Replaced
+        | OrderOutcome::NotSent
+        | OrderOutcome::Unreachable => {}
+    }
+    settled
+}
+
 fn is_certain<P>(shared: &Shared<P>) -> bool {
     shared.leadership.validity.authority() == Authority::Certain
 }
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -20,6 +20,14 @@
 /// ready.
 const UNREADY_AGE: Duration = Duration::from_millis(2_500);
 
+/// Lower limit of the timeout of calls to the store. A process that has used up its share of
+/// a core pauses for most of a tenth of a second.
+const MIN_STORE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Lower limit of the timeout of orders to endpoints. TCP sends a lost packet again after
+/// 200 ms.
+const MIN_ORDER_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// State that the tasks of a process share.
 #[derive(Debug)]
 pub struct Node<P> {
@@ -33,6 +41,8 @@
     pub metrics: Metrics,
     /// Response times of the store.
     pub store_round_trip: RefCell<RoundTrip>,
+    /// Response times of endpoints to orders that they answer at once.
+    pub order_round_trip: RefCell<RoundTrip>,
     /// Local view of the store.
     pub view: RefCell<View>,
     /// Notifies waiting tasks of each change of the view.
@@ -57,7 +67,8 @@
             settings,
             log,
             metrics,
-            store_round_trip: RefCell::default(),
+            store_round_trip: RefCell::new(RoundTrip::new(MIN_STORE_TIMEOUT)),
+            order_round_trip: RefCell::new(RoundTrip::new(MIN_ORDER_TIMEOUT)),
             view: RefCell::default(),
             changed: Notify::new(),
             stopping,
--- a/crates/dispatch/src/platform.rs
+++ b/crates/dispatch/src/platform.rs
@@ -266,20 +266,22 @@
 }
 
 /// Sends orders to endpoints.
+///
+/// Each order waits for its answer until `timeout` has passed.
 #[expect(
     async_fn_in_trait,
     reason = "futures run on a single-threaded executor and need no Send bound"
 )]
 pub trait Endpoints {
     /// Orders an endpoint to start a run.
-    async fn start(&self, order: &Start) -> OrderOutcome;
+    async fn start(&self, order: &Start, timeout: Duration) -> OrderOutcome;
     /// Orders an endpoint to stop a run.
-    async fn stop(&self, order: &Stop) -> OrderOutcome;
+    async fn stop(&self, order: &Stop, timeout: Duration) -> OrderOutcome;
     /// Renews the leases of an endpoint's runs and asks which runs are active or have
-    /// ended.
-    async fn hold(&self, order: &Hold) -> HoldOutcome;
+    /// ended. The time for which the endpoint may wait comes on top of `timeout`.
+    async fn hold(&self, order: &Hold, timeout: Duration) -> HoldOutcome;
     /// Sets the pace of a run.
-    async fn pace(&self, order: &Pace) -> OrderOutcome;
+    async fn pace(&self, order: &Pace, timeout: Duration) -> OrderOutcome;
 }
 
 /// The outcome of an order for a host.
