Split reports of endpoints from replies to orders, and the balance of pools into steps

The balance of a pool was one function of 50 lines; expected needs and hosts are counted in functions of their own. The largest capacity of a host is kept with the list of hosts, in place of a pass over all hosts for each task that fits nowhere. A set-up that two test files had is shared.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -34,6 +34,7 @@
 mod preempt;
 mod rank;
 mod reply;
+mod report;
 mod retention;
 mod save;
 mod straggler;
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -73,31 +73,54 @@
         self.shrink(now, &mut balances, commands);
     }
 
+    /// Returns what each pool needs and holds, except for standby pools.
     fn balances(&mut self, now: Instant) -> BTreeMap<String, Balance> {
-        let mut balances: BTreeMap<String, Balance> = BTreeMap::new();
-        for pool in &self.configuration.pools {
-            if !pool.standby {
-                let expected = self.arrivals.expected(now, &pool.name);
-                let needed = with_unfilled_share(&expected);
-                let held = Resource::default();
-                balances.insert(pool.name.clone(), Balance { needed, held });
-            }
-        }
-        let outstanding = self.outstanding(now);
-        for (pool, outstanding) in outstanding {
+        let mut balances = self.expected_needs(now);
+        for (pool, outstanding) in self.outstanding(now) {
             if let Some(balance) = balances.get_mut(&pool) {
                 let transient = with_unfilled_share(&outstanding.transient);
                 balance.needed = balance.needed.max(&transient);
                 balance.needed.add(&outstanding.long_running);
             }
         }
+        let joining = self.count_hosts(&mut balances);
+        for (pool, &unplaced) in &self.unplaced {
+            if let Some(balance) = balances.get_mut(pool) {
+                let joining = joining.get(pool).copied().unwrap_or_default();
+                let mut needed = unplaced;
+                needed.subtract(&joining);
+                needed.add(&balance.held);
+                balance.needed = balance.needed.max(&needed);
+            }
+        }
+        balances
+    }
+
+    /// Returns what each pool needs for the jobs that are expected to arrive.
+    fn expected_needs(&mut self, now: Instant) -> BTreeMap<String, Balance> {
+        let pools = self.configuration.pools.iter().filter(|pool| !pool.standby);
+        pools
+            .map(|pool| {
+                let expected = self.arrivals.expected(now, &pool.name);
+                let balance = Balance {
+                    needed: with_unfilled_share(&expected),
+                    held: Resource::default(),
+                };
+                (pool.name.clone(), balance)
+            })
+            .collect()
+    }
+
+    /// Adds the capacity of hosts to what their pools hold, and returns the part of it that
+    /// is about to join, by pool.
+    fn count_hosts(
+        &self,
+        balances: &mut BTreeMap<String, Balance>,
+    ) -> BTreeMap<String, Resource> {
         let mut joining: BTreeMap<String, Resource> = BTreeMap::new();
         for host in self.hosts.list.values() {
-            let pool = self
-                .hosts
-                .move_orders
-                .get(&host.name)
-                .map_or(&host.pool, |order| &order.pool);
+            let order = self.hosts.move_orders.get(&host.name);
+            let pool = order.map_or(&host.pool, |order| &order.pool);
             let Some(balance) = balances.get_mut(pool) else {
                 continue;
             };
@@ -110,16 +133,7 @@
                 Availability::Unavailable => {}
             }
         }
-        for (pool, &unplaced) in &self.unplaced {
-            if let Some(balance) = balances.get_mut(pool) {
-                let joining = joining.get(pool).copied().unwrap_or_default();
-                let mut needed = unplaced;
-                needed.subtract(&joining);
-                needed.add(&balance.held);
-                balance.needed = balance.needed.max(&needed);
-            }
-        }
-        balances
+        joining
     }
 
     /// Returns whether the pool of a host can use it.
--- a/crates/core/src/job/scheduler/hosts.rs
+++ b/crates/core/src/job/scheduler/hosts.rs
@@ -54,6 +54,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Hosts {
     pub(super) list: BTreeMap<String, Host>,
+    /// Largest capacity that any host has, in each dimension.
+    pub(super) largest_capacity: Resource,
     /// Move orders whose effect the list may not show yet, by host.
     pub(super) move_orders: BTreeMap<String, MoveOrder>,
     /// Endpoints of the hosts that are subject to an order.
@@ -71,14 +73,6 @@
 }
 
 impl Hosts {
-    /// Returns the largest capacity that any host has, in each dimension.
-    pub(super) fn largest_capacity(&self) -> Resource {
-        let capacities = self.list.values().map(|host| host.capacity);
-        capacities.fold(Resource::default(), |largest, capacity| {
-            largest.max(&capacity)
-        })
-    }
-
     /// Returns whether no order, of this leader or an earlier one, is outstanding for a
     /// host.
     pub(super) fn accepts_orders(&self, now: Instant, host: &str) -> bool {
@@ -104,6 +98,10 @@
             }
         }
         move_orders.retain(|_, order| asked.saturating_since(order.at) < MOVE_TIMEOUT);
+        self.hosts.largest_capacity =
+            hosts.iter().fold(Resource::default(), |largest, host| {
+                largest.max(&host.capacity)
+            });
         self.hosts.list = hosts
             .into_iter()
             .map(|host| (host.name.clone(), host))
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -125,8 +125,8 @@
     fn add_unplaced(&mut self, pool: &str, task: TaskRef, count: usize) {
         let demand = self.step(task).demand;
         if self.is_within_limit(task, &demand) {
-            let host = self.hosts.largest_capacity();
-            let share = self.step(task).reserved().whole_share_of(&host);
+            let reserved = self.step(task).reserved();
+            let share = reserved.whole_share_of(&self.hosts.largest_capacity);
             self.unplaced
                 .entry(pool.to_owned())
                 .or_default()
--- /dev/null
+++ b/crates/core/src/job/scheduler/report.rs
@@ -0,0 +1,312 @@
+//! Processes the reports of endpoints: which runs are active and which have ended.
+
+use super::finish::ReportedEnd;
+use super::outcome::{ActiveRun, EndedRun, HoldOutcome, OrderOutcome, Rejection};
+use super::reply::RETRY_PAUSE;
+use super::{Scheduler, SchedulerEvent};
+use crate::job::endpoint::{Reachability, UnsavedEnd};
+use crate::job::run::{Phase, Run};
+use crate::job::{EndpointKey, Resource, RunEnd, RunKey, TaskName, TaskRef};
+use crate::time::Instant;
+
+impl Scheduler {
+    /// Handles the result of a hold that was issued at `sent`.
+    pub fn handle_hold_outcome(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        sent: Instant,
+        hold_outcome: HoldOutcome,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        if endpoint.hold_sent_at == Some(sent) {
+            endpoint.hold_sent_at = None;
+        }
+        if endpoint.query_sent_at == Some(sent) {
+            endpoint.query_sent_at = None;
+        }
+        match hold_outcome {
+            HoldOutcome::NotReported(outcome) => {
+                endpoint.next_hold = now + RETRY_PAUSE;
+                if let OrderOutcome::Rejected(Rejection::Fenced, _) = outcome {
+                    self.deposed = true;
+                }
+                self.update_reachability(now, key, outcome);
+            }
+            HoldOutcome::Reported(report) => {
+                if report
+                    .born
+                    .is_some_and(|born| born < endpoint.registration.born)
+                {
+                    return;
+                }
+                let newer = report
+                    .born
+                    .filter(|&born| born > endpoint.registration.born);
+                if let Some(born) = newer {
+                    self.replace_incarnation(now, key, born);
+                    return;
+                }
+                endpoint.confirmed_acknowledgement = endpoint.sent_acknowledgement;
+                self.update_reachability(
+                    now,
+                    key,
+                    OrderOutcome::Done(Some(report.clock_ms)),
+                );
+                self.process_ends(now, key, &report.ended);
+                self.process_running(now, key, sent, &report.running);
+                self.schedule_next_hold(now, key);
+            }
+        }
+    }
+
+    /// Replaces an endpoint by a newer incarnation with the same identity.
+    fn replace_incarnation(&mut self, now: Instant, key: EndpointKey, born: u64) {
+        let mut registration = self.endpoints[key].registration.clone();
+        registration.born = born;
+        registration.clock_ms = 0;
+        self.set_endpoint(now, registration);
+    }
+
+    fn process_ends(&mut self, now: Instant, key: EndpointKey, ended: &[EndedRun]) {
+        for reported in ended {
+            let endpoint = &mut self.endpoints[key];
+            if reported.sequence <= endpoint.last_processed_end {
+                continue;
+            }
+            endpoint.last_processed_end = reported.sequence;
+            if reported.outcome == RunEnd::Done {
+                endpoint.record_success();
+            }
+            let id = endpoint.registration.id.clone();
+            self.events.push(SchedulerEvent::Ended {
+                name: reported.name.clone(),
+                number: reported.number,
+                endpoint: id,
+                end: reported.outcome,
+            });
+            self.process_end(now, key, reported);
+        }
+    }
+
+    fn process_end(&mut self, now: Instant, key: EndpointKey, reported: &EndedRun) {
+        if let Some(run) = self.find_run(key, &reported.name, reported.number) {
+            if reported.outcome == RunEnd::Done {
+                self.learn_run_time(now, run);
+            }
+            self.remove_run(now, run);
+        }
+        let end = ReportedEnd {
+            number: reported.number,
+            outcome: reported.outcome,
+            checkpoint: &reported.checkpoint,
+            endpoint: key,
+        };
+        if let Some(task) = self.find_task(&reported.name) {
+            self.handle_run_end(now, task, &end);
+        }
+        // An end that is reported again may belong to an occurrence that is closed already,
+        // but not yet in the store.
+        let Some(&job) = self.jobs_by_id.get(&reported.name.job) else {
+            return;
+        };
+        if !self.jobs[job].is_saved() {
+            let unsaved = UnsavedEnd {
+                sequence: reported.sequence,
+                job,
+                generation: self.jobs[job].generation,
+            };
+            self.endpoints[key].unsaved_ends.push(unsaved);
+        }
+        self.drop_if_finished(now, job);
+    }
+
+    fn process_running(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        sent: Instant,
+        running: &[ActiveRun],
+    ) {
+        let mut listed = Vec::with_capacity(running.len());
+        for reported in running {
+            match self.find_run(key, &reported.name, reported.number) {
+                Some(run) => {
+                    listed.push(run);
+                    self.update_run(now, run, reported);
+                }
+                None => listed.extend(self.adopt(now, key, reported)),
+            }
+        }
+        let missing: Vec<RunKey> = self.endpoints[key]
+            .runs
+            .iter()
+            .copied()
+            .filter(|run| !listed.contains(run))
+            .collect();
+        for run in missing {
+            self.handle_missing_run(now, run, sent);
+        }
+        let endpoint = &mut self.endpoints[key];
+        if endpoint.reachability == Reachability::Unknown {
+            endpoint.reachability = Reachability::Reachable;
+        }
+    }
+
+    fn update_run(&mut self, now: Instant, key: RunKey, reported: &ActiveRun) {
+        let run = &mut self.runs[key];
+        run.percent = reported.percent;
+        run.percent_at = now;
+        run.gauge = reported.gauge;
+        if matches!(
+            run.phase,
+            Phase::Inherited | Phase::Starting | Phase::Unconfirmed
+        ) {
+            run.phase = Phase::Running(now);
+        }
+        if reported.checkpoint.is_empty() {
+            return;
+        }
+        let task = run.task;
+        if let Some(task) = task
+            && let Some(task_state) = self.jobs[task.job].task_mut(task)
+        {
+            reported.checkpoint.clone_into(&mut task_state.checkpoint);
+        }
+    }
+
+    fn handle_missing_run(&mut self, now: Instant, key: RunKey, sent: Instant) {
+        let run = &self.runs[key];
+        match run.phase {
+            // The endpoint has seen this leader's fencing token, so it would reject a
+            // start order of an earlier leader that arrives now.
+            Phase::Inherited => {
+                self.release(now, key, "not started by an earlier leader");
+            }
+            // The run didn't exist when the hold was sent, and its start order may still
+            // arrive, so it has to be stopped.
+            Phase::Unconfirmed if sent > run.sent_at => {
+                self.stop(now, key, "its start order got no answer");
+            }
+            phase => {
+                if phase.confirmed_at().is_some_and(|at| at < sent) {
+                    self.release(now, key, "not listed by its endpoint");
+                }
+            }
+        }
+    }
+
+    /// Takes over a run that this leader didn't start, or stops it if its task is unknown
+    /// or isn't waiting.
+    fn adopt(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        reported: &ActiveRun,
+    ) -> Option<RunKey> {
+        let task = self.find_task(&reported.name);
+        let waiting_task = task.filter(|&task| self.is_task_waiting(task));
+        let (reserved, demand) = task.map_or_else(Default::default, |task| {
+            let step = &self.jobs[task.job].record.spec.steps[task.step as usize];
+            (step.reserved(), step.demand)
+        });
+        let run = self.runs.insert(Run {
+            name: reported.name.clone(),
+            number: reported.number,
+            task,
+            endpoint: key,
+            reserved,
+            demand,
+            phase: Phase::Running(now),
+            sent_at: now,
+            started_by_this_leader: false,
+            percent: reported.percent,
+            percent_at: now,
+            gauge: reported.gauge,
+            pace: 100,
+            // An earlier leader may have reduced the pace.
+            pace_sent: false,
+        });
+        self.attach(run, task, key, reserved, demand);
+        let endpoint = self.endpoint_id(key);
+        if waiting_task.is_some() {
+            self.events.push(SchedulerEvent::Adopted {
+                name: reported.name.clone(),
+                number: reported.number,
+                endpoint,
+            });
+            self.update_run(now, run, reported);
+        } else {
+            self.stop(now, run, "its task is unknown or not waiting");
+        }
+        Some(run)
+    }
+
+    /// Adds a run to its endpoint, its task and the usage of its workspace.
+    pub(super) fn attach(
+        &mut self,
+        run: RunKey,
+        task: Option<TaskRef>,
+        key: EndpointKey,
+        reserved: Resource,
+        demand: Resource,
+    ) {
+        let number = self.runs[run].number;
+        let endpoint = &mut self.endpoints[key];
+        endpoint.runs.insert(run);
+        endpoint.used.add(&reserved);
+        let Some(task) = task else {
+            return;
+        };
+        let job = &mut self.jobs[task.job];
+        if let Some(workspace) = &job.record.workspace {
+            self.workspace_usage
+                .entry(workspace.clone())
+                .or_default()
+                .add(&demand);
+        }
+        if job.state == crate::job::State::Queued {
+            job.state = crate::job::State::Running;
+            job.mark_changed(self.term_began_at);
+        }
+        if let Some(task_state) = job.task_mut(task) {
+            task_state.runs.push(run);
+            task_state.last_run = task_state.last_run.max(number);
+        }
+    }
+
+    /// Returns whether a task may have another run.
+    fn is_task_waiting(&self, task: TaskRef) -> bool {
+        let job = &self.jobs[task.job];
+        !job.state.is_final()
+            && job
+                .task(task)
+                .is_some_and(super::super::live::Task::is_waiting)
+    }
+
+    pub(super) fn find_run(
+        &self,
+        endpoint: EndpointKey,
+        name: &TaskName,
+        number: u64,
+    ) -> Option<RunKey> {
+        let endpoint = self.endpoints.get(endpoint)?;
+        endpoint.runs.iter().copied().find(|&key| {
+            let run = &self.runs[key];
+            run.number == number && run.name == *name
+        })
+    }
+
+    pub(super) fn find_task(&self, name: &TaskName) -> Option<TaskRef> {
+        let job = *self.jobs_by_id.get(&name.job)?;
+        let task = TaskRef {
+            job,
+            occurrence: name.occurrence,
+            step: name.step,
+            index: name.index,
+        };
+        self.jobs[job].task(task).map(|_| task)
+    }
+}
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -14,7 +14,7 @@
 mod job_support;
 
 use job_support::{
-    CAPACITY, Link, Simulation, configuration, configuration_with_spare, spec, step,
+    CAPACITY, Link, Simulation, configuration, simulation_with_spare, spec, step,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -26,14 +26,6 @@
     simulation
 }
 
-fn simulation_with_spare(hosts: usize, spare: usize) -> Simulation {
-    let mut simulation = Simulation::new(configuration_with_spare(&["a"]));
-    simulation.add_hosts("a", hosts);
-    simulation.add_hosts("spare", spare);
-    simulation.run_for(SECOND / 5);
-    simulation
-}
-
 fn starts_of<'a>(
     simulation: &'a Simulation,
     task: &str,
--- a/crates/core/tests/job_capacity.rs
+++ b/crates/core/tests/job_capacity.rs
@@ -8,18 +8,10 @@
 
 mod job_support;
 
-use job_support::{CAPACITY, Simulation, configuration_with_spare, spec, step};
+use job_support::{CAPACITY, Simulation, simulation_with_spare, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn simulation_with_spare(hosts: usize, spare: usize) -> Simulation {
-    let mut simulation = Simulation::new(configuration_with_spare(&["a"]));
-    simulation.add_hosts("a", hosts);
-    simulation.add_hosts("spare", spare);
-    simulation.run_for(SECOND / 5);
-    simulation
-}
-
 /// Returns how many hosts were moved to a pool.
 fn moves_to(simulation: &Simulation, pool: &str) -> usize {
     let moves = simulation.observed.moves.iter();
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -141,6 +141,16 @@
     configuration
 }
 
+/// Returns a simulation of pool `a` with the given numbers of hosts in it and in the standby
+/// pool, after the hosts have been listed.
+pub fn simulation_with_spare(hosts: usize, spare: usize) -> Simulation {
+    let mut simulation = Simulation::new(configuration_with_spare(&["a"]));
+    simulation.add_hosts("a", hosts);
+    simulation.add_hosts("spare", spare);
+    simulation.run_for(Duration::from_millis(200));
+    simulation
+}
+
 /// Returns a configuration with the given pools and one workspace without limits.
 pub fn configuration(pools: &[&str]) -> Configuration {
     let pool = |name: &str| Pool {
