Send queries only beside holds that wait

A newcomer's question at the read-through: has_unconfirmed_run also counts runs taken over from an earlier leader, so a new leader sent a query beside each first hold, which doesn't wait and answers the same. The scheduler notes whether the hold in flight waits, and sends a query only then.

--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -103,6 +103,8 @@
     pub(super) lease_bound: Instant,
     /// When the hold in flight was issued; `None` if there is none.
     pub(super) hold_sent_at: Option<Instant>,
+    /// Whether the endpoint may wait for an end before it answers the hold in flight.
+    pub(super) hold_waits: bool,
     /// When the query in flight was issued: a hold that doesn't wait, beside one that does.
     /// `None` if there is none.
     pub(super) query_sent_at: Option<Instant>,
@@ -148,6 +150,7 @@
             reachability: Reachability::Unknown,
             lease_bound: now,
             hold_sent_at: None,
+            hold_waits: false,
             query_sent_at: None,
             next_hold: now,
             last_processed_end: 0,
--- a/crates/core/src/job/scheduler/order.rs
+++ b/crates/core/src/job/scheduler/order.rs
@@ -34,7 +34,9 @@
                 let possible = if endpoint.hold_sent_at.is_none() {
                     wanted
                 } else {
-                    endpoint.query_sent_at.is_none() && self.has_unconfirmed_run(endpoint)
+                    endpoint.hold_waits
+                        && endpoint.query_sent_at.is_none()
+                        && self.has_unconfirmed_run(endpoint)
                 };
                 possible && now >= endpoint.next_hold
             })
@@ -47,6 +49,7 @@
             let renews = !matches!(endpoint.reachability, Reachability::Unreachable(_));
             if endpoint.hold_sent_at.is_none() {
                 endpoint.hold_sent_at = Some(now);
+                endpoint.hold_waits = !wait.is_zero();
             } else {
                 endpoint.query_sent_at = Some(now);
             }
