Take out the query beside a waiting hold: an older report may arrive last

Change: the query and its test leave; the rest stays. Only one hold at an endpoint is in flight again, so that its reports arrive in order.

Conclusion: a failed try.

--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -103,11 +103,6 @@
     pub(super) lease_bound: Instant,
     /// When the hold in flight was issued; `None` if there is none.
     pub(super) hold_sent_at: Option<Instant>,
-    /// Whether the endpoint may wait for an end before it answers the hold in flight.
-    pub(super) hold_waits: bool,
-    /// When the query in flight was issued: a hold that doesn't wait, beside one that does.
-    /// `None` if there is none.
-    pub(super) query_sent_at: Option<Instant>,
     /// Earliest time of the next hold.
     pub(super) next_hold: Instant,
     /// Highest sequence number among the ends that were processed.
@@ -150,8 +145,6 @@
             reachability: Reachability::Unknown,
             lease_bound: now,
             hold_sent_at: None,
-            hold_waits: false,
-            query_sent_at: None,
             next_hold: now,
             last_processed_end: 0,
             sent_acknowledgement: 0,
@@ -180,11 +173,6 @@
         self.idle_since
     }
 
-    /// Returns when the latest hold in flight was issued.
-    pub(super) fn last_hold_in_flight(&self) -> Option<Instant> {
-        self.hold_sent_at.max(self.query_sent_at)
-    }
-
     pub(super) fn target(&self) -> Target {
         Target {
             id: self.registration.id.clone(),
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -57,7 +57,7 @@
                 endpoint.unregistered_since = None;
                 return;
             }
-            if let Some(sent) = self.endpoints[key].last_hold_in_flight() {
+            if let Some(sent) = self.endpoints[key].hold_sent_at {
                 usable_from = sent + MAX_HOLD_TIME;
             }
             self.remove_endpoint(now, key, "a newer incarnation started");
--- a/crates/core/src/job/scheduler/order.rs
+++ b/crates/core/src/job/scheduler/order.rs
@@ -4,7 +4,7 @@
 
 use super::{Command, Hold, Scheduler, Stop};
 use crate::job::EndpointKey;
-use crate::job::endpoint::{Endpoint, Reachability};
+use crate::job::endpoint::Reachability;
 use crate::job::run::Phase;
 use crate::time::Instant;
 
@@ -21,8 +21,6 @@
 const UNSAVED_HOLD_PAUSE: Duration = Duration::from_millis(300);
 
 impl Scheduler {
-    /// Issues the holds that are due. While one waits for an end, a query beside it asks for
-    /// runs whose state is unconfirmed, since their tasks can't start again before that.
     pub(super) fn issue_holds(&mut self, now: Instant, commands: &mut Vec<Command>) {
         let due: Vec<EndpointKey> = self
             .endpoints
@@ -31,14 +29,7 @@
                 let wanted = !endpoint.runs.is_empty()
                     || endpoint.last_processed_end > endpoint.confirmed_acknowledgement
                     || endpoint.reachability != Reachability::Reachable;
-                let possible = if endpoint.hold_sent_at.is_none() {
-                    wanted
-                } else {
-                    endpoint.hold_waits
-                        && endpoint.query_sent_at.is_none()
-                        && self.has_unconfirmed_run(endpoint)
-                };
-                possible && now >= endpoint.next_hold
+                endpoint.hold_sent_at.is_none() && wanted && now >= endpoint.next_hold
             })
             .map(|(key, _)| key)
             .collect();
@@ -47,12 +38,7 @@
             let wait = self.hold_wait(key);
             let endpoint = &mut self.endpoints[key];
             let renews = !matches!(endpoint.reachability, Reachability::Unreachable(_));
-            if endpoint.hold_sent_at.is_none() {
-                endpoint.hold_sent_at = Some(now);
-                endpoint.hold_waits = !wait.is_zero();
-            } else {
-                endpoint.query_sent_at = Some(now);
-            }
+            endpoint.hold_sent_at = Some(now);
             endpoint.sent_acknowledgement = endpoint.acknowledged();
             if renews {
                 endpoint.lease_bound = endpoint.lease_bound.max(bound);
@@ -83,20 +69,16 @@
     /// be confirmed and no end is still to be saved.
     fn can_wait(&self, key: EndpointKey) -> bool {
         let endpoint = &self.endpoints[key];
-        endpoint.reachability == Reachability::Reachable
-            && endpoint.unsaved_ends.is_empty()
-            && !endpoint.runs.is_empty()
-            && !self.has_unconfirmed_run(endpoint)
-    }
-
-    /// Returns whether the endpoint must be asked for the state of one of its runs.
-    fn has_unconfirmed_run(&self, endpoint: &Endpoint) -> bool {
-        endpoint.runs.iter().any(|&run| {
+        let unconfirmed = |run| {
             matches!(
                 self.runs[run].phase,
                 Phase::Unconfirmed | Phase::Inherited | Phase::StopAcknowledged(_)
             )
-        })
+        };
+        endpoint.reachability == Reachability::Reachable
+            && endpoint.unsaved_ends.is_empty()
+            && !endpoint.runs.is_empty()
+            && !endpoint.runs.iter().copied().any(unconfirmed)
     }
 
     /// Schedules the next hold of an endpoint that has just reported.
--- a/crates/core/src/job/scheduler/report.rs
+++ b/crates/core/src/job/scheduler/report.rs
@@ -24,9 +24,6 @@
         if endpoint.hold_sent_at == Some(sent) {
             endpoint.hold_sent_at = None;
         }
-        if endpoint.query_sent_at == Some(sent) {
-            endpoint.query_sent_at = None;
-        }
         match hold_outcome {
             HoldOutcome::NotReported(outcome) => {
                 endpoint.next_hold = now + RETRY_PAUSE;
