Split two large test files, and give the waves a test file of their own

Change: what delivers the scheduler's commands moves to job_support/delivery.rs; the three tests of waves join the one on evacuation in job_wave.rs and share its set-up; the set-up of a pool without spare hosts stands once. No file of the programs changed.

--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -1,31 +1,24 @@
-//! Scheduling of jobs in a simulation: step order, failures, lost replies, maintenance
-//! and changes of leader.
+//! Scheduling of jobs in a simulation: step order, failures, lost replies and
+//! changes of leader.
 
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
-    Authority, Command, HoldOutcome, Rejection, RunReport, SaveOutcome, Wave,
-    WaveProgress,
+    Authority, Command, HoldOutcome, Rejection, RunReport, SaveOutcome,
 };
-use rhubarbrill_core::job::{Resource, State, Step};
+use rhubarbrill_core::job::{Resource, State};
 use rhubarbrill_core::time::Instant;
 use rstest::rstest;
 
 mod job_support;
 
 use job_support::{
-    CAPACITY, Link, Simulation, configuration, simulation_with_spare, spec, step,
+    CAPACITY, Link, Simulation, configuration, simulation, simulation_with_spare, spec,
+    step,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn simulation(hosts: usize) -> Simulation {
-    let mut simulation = Simulation::new(configuration(&["a"]));
-    simulation.add_hosts("a", hosts);
-    simulation.run_for(SECOND / 5);
-    simulation
-}
-
 fn starts_of<'a>(
     simulation: &'a Simulation,
     task: &str,
@@ -291,80 +284,6 @@
     );
 }
 
-#[test]
-fn wave_moves_no_task_while_another_of_its_step_is_unreachable() {
-    let mut simulation = simulation(5);
-    let mut long_running_step = step(2, 1_000, 0);
-    long_running_step.long_running = true;
-    long_running_step.max_per_endpoint = 1;
-    long_running_step.max_unavailable = Some(1);
-    let id = simulation.submit("a", spec(vec![long_running_step]));
-    simulation.run_for(2 * SECOND);
-    let unreachable = simulation
-        .endpoints_running(&format!("{id}.0.0.0"))
-        .remove(0);
-    let other = simulation
-        .endpoints_running(&format!("{id}.0.0.1"))
-        .remove(0);
-    simulation
-        .endpoints
-        .get_mut(&unreachable)
-        .expect("the endpoint exists")
-        .link = Link::Unreachable;
-    simulation.run_for(SECOND);
-    let host = simulation.endpoints[&other].host.clone();
-    simulation.scheduler.add_wave(
-        simulation.now,
-        wave(vec![host], 1),
-        WaveProgress::default(),
-    );
-    simulation.run_for(3 * SECOND);
-    assert_eq!(
-        simulation.endpoints_running(&format!("{id}.0.0.1")),
-        [other],
-        "one task of the step is already unavailable"
-    );
-}
-
-#[test]
-fn pool_whose_only_host_is_drained_gets_another() {
-    let mut simulation = simulation_with_spare(1, 2);
-    let mut long_running_step = step(4, 1_000, 0);
-    long_running_step.long_running = true;
-    long_running_step.max_unavailable = Some(1);
-    let id = simulation.submit("a", spec(vec![long_running_step]));
-    simulation.run_for(2 * SECOND);
-    let endpoint_id = simulation
-        .endpoints_running(&format!("{id}.0.0.0"))
-        .remove(0);
-    let host = simulation.endpoints[&endpoint_id].host.clone();
-    simulation.scheduler.add_wave(
-        simulation.now,
-        wave(vec![host], 1),
-        WaveProgress::default(),
-    );
-    simulation.run_for(20 * SECOND);
-    assert_eq!(
-        simulation.active_run_count(),
-        4,
-        "all tasks are running again"
-    );
-    assert_eq!(
-        simulation.observed.maintained.len(),
-        1,
-        "the host has been in maintenance"
-    );
-}
-
-fn wave(hosts: Vec<String>, max_at_once: usize) -> Wave {
-    Wave {
-        number: 1,
-        hosts,
-        duration: 20 * SECOND,
-        max_at_once,
-    }
-}
-
 #[test]
 fn new_leader_ignores_endpoints_whose_hosts_left_the_pool() {
     let mut simulation = simulation_with_spare(3, 1);
@@ -582,33 +501,6 @@
     assert_eq!(simulation.observed.starts_at_removed_endpoints, 0);
 }
 
-/// A maintenance wave covers half of a pool in which every host has work for a long time.
-#[test]
-fn wave_over_busy_hosts_finishes_in_time() {
-    let mut simulation = simulation(16);
-    let long_running_step = Step {
-        long_running: true,
-        max_unavailable: Some(2),
-        max_per_endpoint: 1,
-        ..step(8, 4_000, 0)
-    };
-    simulation.submit("a", spec(vec![long_running_step]));
-    for _ in 0..60 {
-        simulation.submit("a", spec(vec![step(16, 2_000, 4_000)]));
-    }
-    simulation.run_for(SECOND);
-    let hosts: Vec<String> = simulation.hosts.keys().take(8).cloned().collect();
-    let mut wave = wave(hosts, 6);
-    wave.duration = 10 * SECOND;
-    let progress = WaveProgress::default();
-    simulation
-        .scheduler
-        .add_wave(simulation.now, wave, progress);
-    simulation.run_for(10 * SECOND);
-    assert_eq!(simulation.observed.maintained.len(), 8);
-    assert!(simulation.observed.max_in_maintenance <= 6);
-}
-
 /// A hold order that is delayed on its way to an endpoint may arrive after a restart of
 /// the endpoint, whose new incarnation would then forget the ends of its own runs.
 #[test]
--- /dev/null
+++ b/crates/core/tests/job_support/delivery.rs
@@ -0,0 +1,222 @@
+//! Delivery of the scheduler's commands to the simulated endpoints, hosts and store.
+
+use std::time::Duration;
+
+use rhubarbrill_core::job::JobKey;
+use rhubarbrill_core::job::scheduler::{
+    Command, Hold, HoldOutcome, HostState, Maintenance, OrderOutcome, Pace, PolicyAnswer,
+    Rejection, Save, SaveOutcome, Start, Stop, WaveState,
+};
+
+use super::endpoint::Link;
+use super::policy::step_name;
+use super::{MOVE_DURATION_MS, Simulation};
+
+impl Simulation {
+    pub(super) fn execute(&mut self, command: Command) {
+        match command {
+            Command::Start(order) => {
+                let outcome = self.deliver_start(&order);
+                self.scheduler
+                    .handle_start_outcome(self.now, order.run, outcome);
+            }
+            Command::Stop(order) => {
+                let outcome = self.deliver_stop(&order);
+                self.scheduler
+                    .handle_stop_outcome(self.now, order.run, outcome);
+            }
+            Command::Hold(order) => {
+                let outcome = self.deliver_hold(&order);
+                // The reply arrives at the next reading of the clock.
+                self.now = self.now + Duration::from_micros(1);
+                self.scheduler.handle_hold_outcome(
+                    self.now,
+                    order.endpoint,
+                    order.sent,
+                    outcome,
+                );
+            }
+            Command::Pace(order) => {
+                let outcome = self.deliver_pace(&order);
+                self.scheduler
+                    .handle_pace_outcome(self.now, &order, outcome);
+            }
+            Command::AskPolicy(question) => match &mut self.policy {
+                Some(policy) => policy.ask(self.now, question),
+                None => self.scheduler.handle_policy_answer(
+                    self.now,
+                    &question,
+                    PolicyAnswer::Unknown,
+                ),
+            },
+            Command::Save(saves) => {
+                let outcome = self.write(&saves);
+                self.scheduler
+                    .handle_save_outcome(self.now, &saves, &outcome);
+            }
+            Command::Remove(ids) => {
+                for id in &ids {
+                    self.progress.remove(id);
+                    self.records.remove(id);
+                    self.finished_jobs.remove(id);
+                }
+                self.scheduler.handle_removal_outcome(&ids, true);
+            }
+            Command::Move(order) => {
+                self.observed.moves.push((
+                    self.now,
+                    order.host.clone(),
+                    order.pool.clone(),
+                ));
+                self.take_down(
+                    &order.host,
+                    &order.pool,
+                    HostState::Moving,
+                    MOVE_DURATION_MS,
+                );
+                self.scheduler
+                    .handle_host_order_accepted(self.now, &order.host);
+            }
+            Command::Maintain(Maintenance { host, wave }) => {
+                self.observed.maintained.push((self.now, host.clone()));
+                let pool = self.hosts[&host].pool.clone();
+                self.take_down(&host, &pool, HostState::Maintained, 2_000);
+                self.scheduler.maintenance_begun(self.now, &host, wave);
+            }
+            Command::ReportWave(wave, state) => {
+                self.observed.waves.push((wave.number, state));
+                if state == WaveState::Completed {
+                    self.scheduler.complete_wave(wave.number);
+                }
+            }
+        }
+    }
+
+    /// Saves progress if the store still holds the versions that the saves replace.
+    fn write(&mut self, saves: &[Save]) -> SaveOutcome {
+        if !self.store_available {
+            return SaveOutcome::Unknown;
+        }
+        let stored_version =
+            |save: &Save| self.versions.get(&format!("p{}", save.id)).copied();
+        let found: Vec<(JobKey, u64)> = saves
+            .iter()
+            .map(|save| (save.job, stored_version(save).unwrap_or(0)))
+            .collect();
+        let expected = saves.iter().map(|save| (save.job, save.version));
+        if !expected.eq(found.iter().copied()) {
+            self.observed.conflicts += 1;
+            return SaveOutcome::Conflict(found);
+        }
+        self.revision += 1;
+        for save in saves {
+            let key = format!("p{}", save.id);
+            self.progress.insert(save.id.clone(), save.progress.clone());
+            if save.is_final() {
+                self.finished_jobs.insert(save.id.clone());
+                self.versions.remove(&key);
+            } else {
+                self.versions.insert(key, self.revision);
+            }
+        }
+        SaveOutcome::Saved(self.revision)
+    }
+
+    fn deliver_start(&mut self, order: &Start) -> OrderOutcome {
+        let Some(endpoint) = self.endpoints.get_mut(&order.target.id) else {
+            self.observed.starts_at_removed_endpoints += 1;
+            return OrderOutcome::Unreachable;
+        };
+        match endpoint.link {
+            Link::Unreachable => OrderOutcome::Unreachable,
+            Link::Healthy | Link::StopsPending => self.execute_start(order),
+            Link::RepliesLost => {
+                self.execute_start(order);
+                OrderOutcome::Unknown
+            }
+            Link::DelayedStarts(delay_ms) => {
+                let at = self.now + Duration::from_millis(delay_ms);
+                endpoint.delayed_starts.push((at, order.clone()));
+                OrderOutcome::Unknown
+            }
+        }
+    }
+
+    pub(super) fn execute_start(&mut self, order: &Start) -> OrderOutcome {
+        let step = &self.records[&order.name.job].spec.steps[order.name.step as usize];
+        let task = order.name.to_string();
+        let id = &order.target.id;
+        let endpoint = self
+            .endpoints
+            .get_mut(id)
+            .expect("the caller checked that it exists");
+        let allowed = self.policy.as_ref().is_none_or(|policy| {
+            policy.is_valid_ticket(
+                self.now,
+                &step_name(&order.name),
+                id,
+                order.ticket.as_deref(),
+            )
+        });
+        let outcome = if allowed {
+            endpoint.start(self.now, order, step)
+        } else {
+            endpoint.reject(self.now, Rejection::NoPermission)
+        };
+        if let OrderOutcome::Rejected(..) = outcome {
+            self.observed.rejections += 1;
+            return outcome;
+        }
+        assert!(
+            !self.completed_tasks.contains(&task),
+            "{task} starts again after it has completed"
+        );
+        let start = (self.now, task, order.number, id.clone());
+        self.observed.starts.push(start);
+        outcome
+    }
+
+    fn deliver_stop(&mut self, order: &Stop) -> OrderOutcome {
+        let Some(endpoint) = self.endpoints.get_mut(&order.target.id) else {
+            return OrderOutcome::Unreachable;
+        };
+        match endpoint.link {
+            Link::Unreachable => OrderOutcome::Unreachable,
+            Link::StopsPending => OrderOutcome::Unknown,
+            Link::RepliesLost => {
+                endpoint.stop(self.now, order);
+                OrderOutcome::Unknown
+            }
+            Link::Healthy | Link::DelayedStarts(_) => endpoint.stop(self.now, order),
+        }
+    }
+
+    fn deliver_pace(&mut self, order: &Pace) -> OrderOutcome {
+        self.observed.pace_orders += 1;
+        let Some(endpoint) = self.endpoints.get_mut(&order.target.id) else {
+            return OrderOutcome::Unreachable;
+        };
+        if self.pace_orders_to_lose > 0 {
+            self.pace_orders_to_lose -= 1;
+            return OrderOutcome::Unknown;
+        }
+        endpoint.pace(self.now, order)
+    }
+
+    fn deliver_hold(&mut self, order: &Hold) -> HoldOutcome {
+        self.observed.holds += 1;
+        let Some(endpoint) = self.endpoints.get_mut(&order.target.id) else {
+            return HoldOutcome::NotReported(OrderOutcome::Unreachable);
+        };
+        match endpoint.link {
+            Link::Unreachable => HoldOutcome::NotReported(OrderOutcome::Unreachable),
+            Link::RepliesLost => {
+                endpoint.hold(self.now, order);
+                HoldOutcome::NotReported(OrderOutcome::Unknown)
+            }
+            Link::Healthy | Link::DelayedStarts(_) | Link::StopsPending => {
+                endpoint.hold(self.now, order)
+            }
+        }
+    }
+}
