Let the stand-in write the settings file of the platform it plays

Cause: the tests of processes held the platform's settings names and its environment variable in their own support module, outside platform/ and the stand-in. Change: UserPlatform::settings_file and SETTINGS_PATH_VARIABLE. Ruled out: a second user of the text (the soak starts its processes by the same support module).

--- a/crates/rhubarbrilld/tests/support/jobs.rs
+++ b/crates/rhubarbrilld/tests/support/jobs.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use rhubarbrill_standin::users::UserPlatform;
+use rhubarbrill_standin::users::{SETTINGS_PATH_VARIABLE, UserPlatform};
 use serde_json::{Value, json};
 use ureq::Agent;
 
@@ -53,16 +53,7 @@
         name: &str,
         [callers, readiness, metrics]: [SocketAddr; 3],
     ) -> Self {
-        let settings = format!(
-            "node-name={name}\nip=127.0.0.1\nzone=z\nlisten-addrs.front={callers}\n\
-             listen-addrs.ready={readiness}\ninternal-ports={},{}\n\
-             platform.address={}\ncloud-api.address={}\nadvice={}\nbounds.grace-s=6\n",
-            metrics.port(),
-            metrics.port(),
-            store,
-            users.hosts(),
-            users.policy(),
-        );
+        let settings = users.settings_file(name, store, [callers, readiness, metrics]);
         let path = folder.write(&format!("{name}.conf"), &settings);
         let log = fs::OpenOptions::new()
             .create(true)
@@ -71,7 +62,7 @@
             .unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrilld"))
             .arg("--platform")
-            .env("RHUBARBRILL_NODE_FILE", path)
+            .env(SETTINGS_PATH_VARIABLE, path)
             .stdout(Stdio::from(log))
             .stderr(Stdio::inherit())
             .spawn()
--- a/crates/standin/src/users.rs
+++ b/crates/standin/src/users.rs
@@ -21,6 +21,9 @@
 
 pub use state::{StartedRun, StoreFault};
 
+/// Environment variable that holds the path of the settings file.
+pub const SETTINGS_PATH_VARIABLE: &str = "RHUBARBRILL_NODE_FILE";
+
 /// The servers of a simulated user platform. Dropping it stops them.
 #[derive(Debug)]
 pub struct UserPlatform {
@@ -76,6 +79,24 @@
         self.policy.address()
     }
 
+    /// Returns the settings file that the platform writes for an entry host, which reaches the
+    /// store at `store` and listens for callers, readiness checks and internal calls.
+    pub fn settings_file(
+        &self,
+        name: &str,
+        store: SocketAddr,
+        [callers, readiness, internal]: [SocketAddr; 3],
+    ) -> String {
+        let port = internal.port();
+        let (hosts, policy) = (self.hosts(), self.policy());
+        format!(
+            "node-name={name}\nip=127.0.0.1\nzone=z\nlisten-addrs.front={callers}\n\
+             listen-addrs.ready={readiness}\ninternal-ports={port},{port}\n\
+             platform.address={store}\ncloud-api.address={hosts}\nadvice={policy}\n\
+             bounds.grace-s=6\n",
+        )
+    }
+
     /// Makes the placement policy allow only these endpoints, and makes endpoints reject
     /// starts that lack a ticket of the policy.
     pub fn set_allowed_endpoints(&self, endpoints: &[&str]) {
