Start the tasks of a failed host elsewhere once the platform lists it without its endpoint

Cause: a task on an endpoint that doesn't answer waited for its lease, 5.4 s, and under a new leader for the longest lease that any leader could have granted, 9.4 s. Hosts behind a cut stay listed with their endpoints. Ruled out: trusting a refused connection (an address may be given to another endpoint); the state alone (only the missing endpoint ends an incarnation). Change: core::job::scheduler::listing. An endpoint that doesn't answer is gone when a list names its host without it; one that answered, or whose host is missing, only after two lists and no reply between. Records of runs carry the host, so that a new leader can tell as well. An endpoint that is missing from the latest list gets no new tasks.

--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -91,6 +91,12 @@
 pub struct Endpoint {
     /// Latest registry entry.
     pub(super) registration: Registration,
+    /// Name of the host that the platform has listed with this endpoint; `None` if it
+    /// hasn't been listed yet.
+    pub(super) host: Option<String>,
+    /// When the first of the latest listings of hosts without this endpoint was requested;
+    /// `None` if the latest one names it.
+    pub(super) unlisted_since: Option<Instant>,
     /// Resources reserved by `runs`.
     pub(super) used: Resource,
     pub(super) runs: BTreeSet<RunKey>,
@@ -139,6 +145,8 @@
                 at: now,
             },
             registration,
+            host: None,
+            unlisted_since: None,
             used: Resource::default(),
             runs: BTreeSet::new(),
             unregistered_since: None,
@@ -180,6 +188,11 @@
         }
     }
 
+    /// Returns whether the endpoint has replied to an order since `instant`.
+    pub(super) fn has_replied_since(&self, instant: Instant) -> bool {
+        self.reachability == Reachability::Reachable && self.clock.at >= instant
+    }
+
     /// Records a reading of the endpoint's clock that came with a reply.
     pub(super) const fn read_clock(&mut self, reading_ms: u64, now: Instant) {
         self.clock = ClockReading {
@@ -234,6 +247,7 @@
             && self.reachability == Reachability::Reachable
             && !self.registration.draining
             && !self.cordoned
+            && self.unlisted_since.is_none()
             && now >= self.no_placement_until
     }
 }
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -45,6 +45,9 @@
     pub address: SocketAddr,
     /// Name of its pool.
     pub pool: String,
+    /// Name of its host; `None` if the platform hadn't listed it yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<String>,
 }
 
 /// State of a job, as published to callers.
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -26,6 +26,7 @@
 mod inherit;
 mod intake;
 mod lease;
+mod listing;
 mod order;
 mod outcome;
 mod pace;
--- a/crates/core/src/job/scheduler/hosts.rs
+++ b/crates/core/src/job/scheduler/hosts.rs
@@ -87,7 +87,8 @@
 impl Scheduler {
     /// Replaces the list of hosts with one that was requested from the platform at
     /// `asked`.
-    pub fn set_hosts(&mut self, asked: Instant, hosts: Vec<Host>) {
+    pub fn set_hosts(&mut self, now: Instant, asked: Instant, hosts: Vec<Host>) {
+        self.end_unlisted_incarnations(now, asked, &hosts);
         let move_orders = &mut self.hosts.move_orders;
         for host in &hosts {
             let seen = move_orders.get(&host.name).is_some_and(|order| {
--- a/crates/core/src/job/scheduler/inherit.rs
+++ b/crates/core/src/job/scheduler/inherit.rs
@@ -65,7 +65,14 @@
     ) -> Option<EndpointKey> {
         let member = &assigned.member;
         if let Some(&key) = self.endpoints_by_id.get(&member.id) {
-            return (self.endpoints[key].registration.born == member.born).then_some(key);
+            let endpoint = &mut self.endpoints[key];
+            if endpoint.registration.born != member.born {
+                return None;
+            }
+            if endpoint.host.is_none() {
+                endpoint.host.clone_from(&member.host);
+            }
+            return Some(key);
         }
         let registration = Registration {
             id: member.id.clone(),
@@ -80,6 +87,7 @@
         };
         let mut endpoint = Endpoint::new(registration, now);
         endpoint.unregistered_since = Some(now);
+        endpoint.host.clone_from(&member.host);
         let key = self.endpoints.insert(endpoint);
         self.endpoints_by_id.insert(member.id.clone(), key);
         Some(key)
--- a/crates/core/src/job/scheduler/save.rs
+++ b/crates/core/src/job/scheduler/save.rs
@@ -124,15 +124,14 @@
     }
 
     fn assigned_endpoint(&self, run: RunKey) -> Option<AssignedEndpoint> {
-        let registration = &self
-            .endpoints
-            .get(self.runs.get(run)?.endpoint)?
-            .registration;
+        let endpoint = self.endpoints.get(self.runs.get(run)?.endpoint)?;
+        let registration = &endpoint.registration;
         Some(AssignedEndpoint {
             id: registration.id.clone(),
             born: registration.born,
             address: registration.address,
             pool: registration.pool.clone(),
+            host: endpoint.host.clone(),
         })
     }
 
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -300,7 +300,7 @@
     /// Passes the current list of hosts to the scheduler.
     pub fn list_hosts(&mut self) {
         let hosts = self.hosts.values().cloned().collect();
-        self.scheduler.set_hosts(self.now, hosts);
+        self.scheduler.set_hosts(self.now, self.now, hosts);
     }
 
     /// Submits a job of the default workspace and returns its identity.
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -430,7 +430,7 @@
             scheduler.handle_save_outcome(now, &saves, &ending);
         }
         Message::Removed(ids, done) => scheduler.handle_removal_outcome(&ids, done),
-        Message::HostsListed(sent, hosts) => scheduler.set_hosts(sent, hosts),
+        Message::HostsListed(sent, hosts) => scheduler.set_hosts(now, sent, hosts),
         Message::Moved(host, outcome) => match outcome {
             HostOrderOutcome::Accepted => {
                 scheduler.handle_host_order_accepted(now, &host);
--- a/crates/measure/src/job.rs
+++ b/crates/measure/src/job.rs
@@ -118,7 +118,7 @@
         for host in bench.hosts.clone() {
             bench.scheduler.set_endpoint(now, registration(&host));
         }
-        bench.scheduler.set_hosts(now, bench.hosts.clone());
+        bench.scheduler.set_hosts(now, now, bench.hosts.clone());
         bench.poll();
         let jobs = hosts * TASKS_PER_ENDPOINT / TASKS_PER_JOB as usize;
         for _ in 0..jobs {
@@ -263,7 +263,8 @@
     fn host_poll(&mut self) -> f64 {
         mean_micros(|| {
             self.now = self.now + TICK;
-            self.scheduler.set_hosts(self.now, self.hosts.clone());
+            self.scheduler
+                .set_hosts(self.now, self.now, self.hosts.clone());
             self.scheduler.poll_hosts(self.now);
         })
     }
