Report an entry host as unready once its calls to the store have failed for 0.6 s

Ruled out: a lower age alone, since a quiet watch answers each second and a slow one later still. Change: core::contact: a service is lost once calls have failed for 0.6 s and none was answered. Reads, commits, renewals, lists and watches of the store are counted; one answer ends it. Test: contact, a table that names the pattern.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod allowance;
 pub mod claim;
+pub mod contact;
 pub mod fair;
 pub mod fleet;
 pub mod gate;
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rhubarbrill_core::contact::Contact;
 use rhubarbrill_core::job::Configuration;
 use rhubarbrill_core::round_trip::RoundTrip;
 use rhubarbrill_core::time::Instant;
@@ -13,6 +14,7 @@
 
 use crate::clock;
 use crate::metrics::Metrics;
+use crate::platform::Failure;
 use crate::settings::Settings;
 use crate::view::{Delta, View};
 
@@ -41,6 +43,8 @@
     pub metrics: Metrics,
     /// Response times of the store.
     pub store_round_trip: RefCell<RoundTrip>,
+    /// Whether the store answers.
+    pub store_contact: RefCell<Contact>,
     /// Response times of endpoints to orders that they answer at once.
     pub order_round_trip: RefCell<RoundTrip>,
     /// Local view of the store.
@@ -68,6 +72,7 @@
             log,
             metrics,
             store_round_trip: RefCell::new(RoundTrip::new(MIN_STORE_TIMEOUT)),
+            store_contact: RefCell::default(),
             order_round_trip: RefCell::new(RoundTrip::new(MIN_ORDER_TIMEOUT)),
             view: RefCell::default(),
             changed: Notify::new(),
@@ -88,11 +93,22 @@
         Some(now.saturating_since(last_contact))
     }
 
+    /// Records the outcome of a call to the store.
+    pub(crate) fn record_store_call<T>(&self, outcome: &Result<T, Failure>) {
+        let mut contact = self.store_contact.borrow_mut();
+        match outcome {
+            Ok(_) | Err(Failure::Compacted) => contact.record_answer(),
+            Err(Failure::NotDone(_) | Failure::Unknown(_)) => {
+                contact.record_failure(clock::now());
+            }
+        }
+    }
+
     /// Returns whether the load balancer may send requests to this process.
     pub fn is_ready(&self) -> bool {
-        let fresh = self
-            .store_age(clock::now())
-            .is_some_and(|age| age <= UNREADY_AGE);
-        fresh && self.configuration().is_some() && !self.stopping.is_cancelled()
+        let now = clock::now();
+        let fresh = self.store_age(now).is_some_and(|age| age <= UNREADY_AGE);
+        let lost = self.store_contact.borrow().is_lost(now);
+        fresh && !lost && self.configuration().is_some() && !self.stopping.is_cancelled()
     }
 }
--- a/crates/dispatch/src/store_call.rs
+++ b/crates/dispatch/src/store_call.rs
@@ -56,6 +56,7 @@
     ) -> Result<T, Failure> {
         let sent = clock::now();
         let outcome = call.await;
+        self.record_store_call(&outcome);
         let elapsed = clock::now().saturating_since(sent);
         let mut round_trip = self.store_round_trip.borrow_mut();
         match &outcome {
--- a/crates/dispatch/src/sync.rs
+++ b/crates/dispatch/src/sync.rs
@@ -93,7 +93,9 @@
     let mut as_of = None;
     loop {
         let after = items.last().map(|item| item.key.as_str());
-        let page = node.platform.store().list(section, after).await?;
+        let page = node.platform.store().list(section, after).await;
+        node.record_store_call(&page);
+        let page = page?;
         // The pages are not a consistent snapshot, so the watch must start after the
         // first page.
         let first = *as_of.get_or_insert(page.as_of);
@@ -123,7 +125,9 @@
     async fn watch(&mut self, on_changes: &impl Fn(Changes)) {
         loop {
             let store = self.node.platform.store();
-            match store.watch(self.section, self.as_of, WATCH_WAIT).await {
+            let watched = store.watch(self.section, self.as_of, WATCH_WAIT).await;
+            self.node.record_store_call(&watched);
+            match watched {
                 Ok(changes) => {
                     let is_idle = changes.changes.is_empty();
                     self.mark_reachable(changes.as_of);
