Let a restarted process replace the leader's record of its own earlier process

Ruled out: a shorter lease (a slow store would end it); the name alone (a host may be replaced); the address alone (it may be given to another host). Change: core::job::leader. A record with this host's name and the address that this process listens at belongs to a process that has ended, since an address has one listener; the election replaces it on condition of its revision. What the earlier process left in flight has the lower fencing token and fails the condition on the record; the record of orders for hosts keeps the pause between two holders as before.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -6,6 +6,7 @@
 
 pub mod configuration;
 mod endpoint;
+pub mod leader;
 mod live;
 pub mod record;
 mod resource;
--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rhubarbrill_core::job::leader::{Leader, Vacancy};
 use rhubarbrill_core::job::scheduler::Term;
 use uuid::Uuid;
 
@@ -14,7 +15,7 @@
 use crate::platform::{
     CommitOutcome, Condition, Failure, Item, Lease, Platform, Store, Transaction, Write,
 };
-use crate::view::{Leader, TermCounter};
+use crate::view::TermCounter;
 use crate::{clock, key};
 
 /// TTL of the leader's lease. Bounds the time until a new leader can be elected; the
@@ -53,7 +54,11 @@
 /// Runs for election whenever there is no leader, and leads when elected. Returns when
 /// the process is asked to stop.
 pub async fn campaign<P: Platform>(node: Rc<Node<P>>) {
-    let nonce = Uuid::new_v4().to_string();
+    let own = Leader {
+        name: node.settings.name.clone(),
+        nonce: Uuid::new_v4().to_string(),
+        address: Some(node.settings.internal),
+    };
     while !node.stopping.is_cancelled() {
         let check = tokio::time::timeout(CHECK_INTERVAL, node.changed.notified());
         tokio::select! {
@@ -61,26 +66,34 @@
             _ = check => {}
             () = node.stopping.cancelled() => return,
         }
-        if !is_leaderless(&node) {
+        let Some(vacancy) = find_vacancy(&node, &own) else {
             continue;
+        };
+        if vacancy == Vacancy::NoLeader {
+            let delay = stagger(&own.nonce) + low_cpu_delay(node.settings.cpu);
+            tokio::time::sleep(delay).await;
+            if find_vacancy(&node, &own) != Some(vacancy) {
+                continue;
+            }
         }
-        let delay = stagger(&nonce) + low_cpu_delay(node.settings.cpu);
-        tokio::time::sleep(delay).await;
-        if !is_leaderless(&node) || node.stopping.is_cancelled() {
+        if node.stopping.is_cancelled() {
             continue;
         }
-        if let Some(leadership) = try_acquire(&node, &nonce).await {
+        if let Some(leadership) = try_acquire(&node, &own, vacancy).await {
             term::lead(Rc::clone(&node), leadership).await;
         }
     }
 }
 
-fn is_leaderless<P>(node: &Node<P>) -> bool {
-    let fresh = node
-        .store_age(clock::now())
-        .is_some_and(|age| age <= MAX_VIEW_AGE);
+/// Returns why this process may run for election, or `None` if it may not.
+fn find_vacancy<P>(node: &Node<P>, own: &Leader) -> Option<Vacancy> {
+    let age = node.store_age(clock::now())?;
     let view = node.view.borrow();
-    fresh && view.leader.is_none() && view.configuration.is_some()
+    if age > MAX_VIEW_AGE || view.configuration.is_none() {
+        return None;
+    }
+    let record = view.leader.as_ref();
+    Vacancy::find(record.map(|leader| (&leader.value, leader.revision)), own)
 }
 
 fn stagger(nonce: &str) -> Duration {
@@ -95,7 +108,11 @@
     MAX_LOW_CPU_DELAY.mul_f64(missing)
 }
 
-async fn try_acquire<P: Platform>(node: &Node<P>, nonce: &str) -> Option<Leadership> {
+async fn try_acquire<P: Platform>(
+    node: &Node<P>,
+    own: &Leader,
+    vacancy: Vacancy,
+) -> Option<Leadership> {
     let store = node.platform.store();
     let sent = clock::now();
     let ttl = LEASE_TTL.max(node.settings.min_lease);
@@ -104,15 +121,10 @@
     let validity = LeaseValidity::new(sent, lease.ttl);
     let counter = node.view.borrow().term.clone();
     let number = counter.as_ref().map_or(0, |counter| counter.value.number) + 1;
-    let leader = Leader {
-        name: node.settings.name.clone(),
-        nonce: nonce.to_owned(),
-        address: Some(node.settings.internal),
-    };
-    let leader = serde_json::to_vec(&leader).ok()?;
+    let leader = serde_json::to_vec(own).ok()?;
     let transaction = Transaction {
         conditions: vec![
-            condition(key::LEADER, 0),
+            condition(key::LEADER, vacancy.revision()),
             condition(key::TERM, counter.map_or(0, |counter| counter.revision)),
         ],
         writes: vec![
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -1,9 +1,9 @@
 //! The local view of the store, which every process keeps up to date with watches.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 
+use rhubarbrill_core::job::leader::Leader;
 use rhubarbrill_core::job::scheduler::Wave;
 use rhubarbrill_core::job::{Configuration, State};
 use rhubarbrill_core::time::Instant;
@@ -13,18 +13,6 @@
 use crate::key::{self, Key};
 use crate::platform::{Change, Changes, Content, Section};
 
-/// The record of the current leader.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Leader {
-    /// Name of the entry host that leads.
-    pub name: String,
-    /// Identifies the process, also among successive processes of the same entry host.
-    pub nonce: String,
-    /// Address that accepts requests forwarded by other entry hosts.
-    #[serde(default)]
-    pub address: Option<SocketAddr>,
-}
-
 /// The record that counts terms.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TermCounter {
