Split the takeover from a leader's term, and balances from the moves of hosts

Ruled out: splitting Message and Shared off as well; both are used by every task of a term. Change: lead::takeover (what is read before the first decision; messages that arrive meanwhile are handed back), scheduler::balance (what a pool needs and holds). No behaviour changes: the checks of the messages are the same, deferred ones are handled before the first decision as before. Conclusion: term still knows orders, hosts and save both ways through Message and Shared.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -18,6 +18,7 @@
 };
 use crate::time::{Instant, Timestamp};
 
+mod balance;
 mod capacity;
 mod event;
 mod finish;
--- a/crates/core/src/job/scheduler/vacate.rs
+++ b/crates/core/src/job/scheduler/vacate.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Scheduler;
-use super::capacity::{Balance, Scope};
+use super::balance::{Balance, Scope};
 use super::hosts::{Host, HostState};
 use crate::job::Resource;
 use crate::time::Instant;
--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -9,6 +9,7 @@
 mod recovery;
 mod registrations;
 mod save;
+mod takeover;
 mod term;
 
 pub use election::campaign;
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
-    Authority, Command, HoldOutcome, Host, Maintenance, Options, OrderOutcome, Pace,
-    PolicyAnswer, PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress,
-    WaveState,
+    Authority, Command, HoldOutcome, Host, Maintenance, OrderOutcome, Pace, PolicyAnswer,
+    PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress, WaveState,
 };
 use rhubarbrill_core::job::{EndpointKey, RunKey};
 use rhubarbrill_core::time::Instant;
@@ -16,12 +15,11 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio_util::sync::CancellationToken;
 
-use super::authority::HOLD_GRACE;
 use super::election::Leadership;
 use super::hosts::Order;
 use super::orders::notify;
 use super::recovery::RecoveredState;
-use super::registrations::Registrations;
+use super::takeover::{self, LeaderState};
 use super::{hosts, notes, orders, save};
 use crate::node::Node;
 use crate::platform::{Changes, HostOrderOutcome, Platform, Section, Store};
@@ -41,22 +39,6 @@
 /// Interval between renewals of the leader's lease.
 const RENEW_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Longest lease that an order grants to a run. Long enough for a new leader to be
-/// elected and take over.
-const MAX_RUN_LEASE: Duration = Duration::from_millis(5_000);
-
-/// Factor by which a lease may last longer than granted on an endpoint with a slow clock.
-const CLOCK_DRIFT_FACTOR: f64 = 1.025;
-
-/// Additional time for an order that is read late.
-const LEASE_MARGIN: Duration = Duration::from_millis(300);
-
-/// Factor by which finished jobs are kept longer than the configured retention.
-const RETENTION_FACTOR: f64 = 1.25;
-
-/// Delay between two checks whether the view has caught up.
-const CATCH_UP_PAUSE: Duration = Duration::from_millis(5);
-
 /// A message to the leader's task.
 #[derive(Debug)]
 pub(super) enum Message {
@@ -119,7 +101,7 @@
         tokio::task::spawn_local(hosts::send(Rc::clone(&shared), orders, done.clone()));
     let following = tokio::task::spawn_local(follow(Rc::clone(&shared), done.clone()));
     log_term(&shared, Event::TermBegan);
-    if let Some(recovered) = catch_up(&shared).await {
+    if let Some(recovered) = takeover::catch_up(&shared).await {
         while view_changes.try_recv().is_ok() {}
         run_scheduler(&shared, recovered, &mut messages, &mut view_changes).await;
     }
@@ -163,41 +145,6 @@
     event::log(&shared.node.log, event, fields);
 }
 
-/// Reads the state that earlier leaders stored, and waits until the view contains
-/// everything that was written before the term began.
-async fn catch_up<P: Platform>(shared: &Shared<P>) -> Option<RecoveredState> {
-    let is_over =
-        || shared.leadership.validity.is_over() || shared.node.stopping.is_cancelled();
-    let recovered = RecoveredState::read(&shared.node, is_over).await?;
-    while !is_over() {
-        if shared.node.view.borrow().as_of() >= shared.leadership.term.start_revision {
-            return Some(recovered);
-        }
-        tokio::time::sleep(CATCH_UP_PAUSE).await;
-    }
-    None
-}
-
-/// State of the leader's task.
-struct LeaderState {
-    scheduler: Scheduler,
-    registrations: Registrations,
-    /// Numbers of waiting jobs that this leader last wrote; `None` if they must be
-    /// written again.
-    pending: Option<Pending>,
-    next_pending: Instant,
-    next_hosts: Instant,
-}
-
-impl LeaderState {
-    /// Applies changes of the sections that only the leader watches.
-    fn apply<P>(&mut self, node: &Node<P>, changes: Changes) {
-        for change in changes.changes {
-            self.registrations.apply(node, &mut self.scheduler, change);
-        }
-    }
-}
-
 async fn run_scheduler<P: Platform>(
     shared: &Rc<Shared<P>>,
     recovered: RecoveredState,
@@ -205,9 +152,13 @@
     view_changes: &mut UnboundedReceiver<Vec<Delta>>,
 ) {
     let node = &shared.node;
-    let Some(mut leader) = initialize(shared, recovered, messages).await else {
+    let Some(takeover) = takeover::initialize(shared, recovered, messages).await else {
         return;
     };
+    let mut leader = takeover.state;
+    for message in takeover.deferred {
+        handle(shared, &mut leader, message);
+    }
     let mut last_authority = Authority::Certain;
     loop {
         let wake = tokio::time::sleep(POLL_INTERVAL);
@@ -236,54 +187,6 @@
     }
 }
 
-/// Waits for the first complete listing of the sections that only the leader watches, and
-/// initializes the scheduler with it.
-async fn initialize<P: Platform>(
-    shared: &Rc<Shared<P>>,
-    recovered: RecoveredState,
-    messages: &mut UnboundedReceiver<Message>,
-) -> Option<LeaderState> {
-    let mut deferred = Vec::new();
-    let (mut endpoints, mut jobs) = (None, None);
-    while endpoints.is_none() || jobs.is_none() {
-        let wake = tokio::time::sleep(POLL_INTERVAL);
-        tokio::select! {
-            message = messages.recv() => match message? {
-                Message::SectionChanged(Section::Registrations, read)
-                    if endpoints.is_none() =>
-                {
-                    endpoints = Some(read);
-                }
-                Message::SectionChanged(Section::Records(_), read) if jobs.is_none() => {
-                    jobs = Some(read);
-                }
-                message => deferred.push(message),
-            },
-            () = wake => {}
-            () = shared.node.stopping.cancelled() => return None,
-        }
-        if shared.leadership.validity.is_over() {
-            return None;
-        }
-    }
-    let now = clock::now();
-    let mut leader = LeaderState {
-        scheduler: new_scheduler(shared, &recovered),
-        registrations: Registrations::new(recovered),
-        pending: None,
-        next_pending: now,
-        next_hosts: now,
-    };
-    // Endpoints come first, because the runs of jobs are matched with them.
-    for read in [endpoints?, jobs?] {
-        leader.apply(&shared.node, read);
-    }
-    for message in deferred {
-        handle(shared, &mut leader, message);
-    }
-    Some(leader)
-}
-
 fn decide<P: Platform>(
     shared: &Rc<Shared<P>>,
     leader: &mut LeaderState,
@@ -327,43 +230,6 @@
     }
 }
 
-fn new_scheduler<P: Platform>(
-    shared: &Shared<P>,
-    recovered: &RecoveredState,
-) -> Scheduler {
-    let now = clock::now();
-    let settings = &shared.node.settings;
-    let lease_term = MAX_RUN_LEASE.min(settings.max_lease);
-    let options = Options {
-        lease_term,
-        inherited_bound: HOLD_GRACE
-            + lease_term.mul_f64(CLOCK_DRIFT_FACTOR)
-            + LEASE_MARGIN,
-        retention: settings.retention.mul_f64(RETENTION_FACTOR),
-    };
-    let mut scheduler = Scheduler::new(options, shared.leadership.term, now);
-    let view = shared.node.view.borrow();
-    for (host, &age_ms) in &recovered.orders.hosts {
-        let age = Duration::from_millis(age_ms);
-        let left = settings.host_order_pause.saturating_sub(age);
-        scheduler.block_host_orders_until(host, now + left);
-    }
-    if let Some(configuration) = &view.configuration {
-        scheduler.set_configuration((**configuration).clone());
-    }
-    for id in view.finished() {
-        scheduler.add_finished_job(now, id);
-    }
-    for (number, wave) in &view.waves {
-        match recovered.waves.get(number) {
-            Some(record) if record.completed => scheduler.complete_wave(*number),
-            Some(record) => scheduler.add_wave(now, wave.clone(), record.progress()),
-            None => scheduler.add_wave(now, wave.clone(), WaveProgress::default()),
-        }
-    }
-    scheduler
-}
-
 fn apply_deltas<P: Platform>(
     shared: &Shared<P>,
     scheduler: &mut Scheduler,
