Let a leader without the store wait for its paused lease instead of ending its term

The leader ended its term at 35.8 s, four seconds after its lease; its paused lease kept the record in place, so the next term began at 38.35 s, 1.4 s after the store's return. Ruled out: holding on for longer (a successor allows for four seconds of renewals, no more). Change: Authority::Suspended: past those four seconds the leader sends nothing, holds included, and only tries to renew its lease. If the lease never expired it continues with what it knows; if it did, it says so at once and the next election begins. A process that was paused for so long sends no hold that it had prepared. Test: job_leader (table of what a leader may do; a leader that is suspended for 8 s sends nothing, and its jobs end afterwards with no task running twice).

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -83,6 +83,24 @@
     /// Another leader may exist, so the scheduler only renews leases of existing runs. An
     /// endpoint that has seen the other leader's fencing token rejects the renewal.
     HoldOnly,
+    /// Another leader may rely on no lease having been renewed any more, so nothing is
+    /// sent. If the leader's own lease turns out never to have expired, as it may when the
+    /// store was down, it continues with what it knows.
+    Suspended,
+}
+
+impl Authority {
+    /// Returns what a leader may do at `now` if its lease is certain to be valid until
+    /// `valid_until`, and if a successor allows for renewals during `hold_grace`.
+    pub fn at(now: Instant, valid_until: Instant, hold_grace: Duration) -> Self {
+        if now < valid_until {
+            Self::Certain
+        } else if now <= valid_until + hold_grace {
+            Self::HoldOnly
+        } else {
+            Self::Suspended
+        }
+    }
 }
 
 /// An order to start a run.
@@ -274,7 +292,7 @@
         authority: Authority,
     ) -> Vec<Command> {
         let mut commands = Vec::new();
-        if self.deposed {
+        if self.deposed || authority == Authority::Suspended {
             return commands;
         }
         self.release_lapsed(now);
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -82,6 +82,8 @@
     pub records: BTreeMap<String, Record>,
     pub observed: Observations,
     pub configuration: Configuration,
+    /// What the leader may do.
+    pub authority: Authority,
     /// Whether the store responds to writes.
     pub store_available: bool,
     /// Placement policy that must allow each start; `None` if there is none.
@@ -223,6 +225,7 @@
             records: BTreeMap::new(),
             observed: Observations::default(),
             configuration,
+            authority: Authority::Certain,
             store_available: true,
             policy: None,
             pace_orders_to_lose: 0,
@@ -448,9 +451,9 @@
         self.deliver_policy_answers();
         self.expire_registrations();
         let wall_time = self.wall_time();
-        let mut commands = self.scheduler.poll(self.now, wall_time, Authority::Certain);
+        let mut commands = self.scheduler.poll(self.now, wall_time, self.authority);
         self.ticks += 1;
-        if self.ticks.is_multiple_of(10) {
+        if self.ticks.is_multiple_of(10) && self.authority == Authority::Certain {
             self.list_hosts();
             commands.extend(self.scheduler.poll_hosts(self.now));
         }
--- a/crates/dispatch/src/lead/authority.rs
+++ b/crates/dispatch/src/lead/authority.rs
@@ -14,7 +14,8 @@
 
 /// How long a leader keeps renewing the leases of runs after its own lease is no longer
 /// certain. While the store is unreachable, no other process can be elected. A new leader
-/// waits for the same time.
+/// waits for the same time. From then on the leader sends nothing, and only tries to renew
+/// its own lease: if the store's leases paused, it still leads.
 pub const HOLD_GRACE: Duration = Duration::from_secs(4);
 
 /// The time until which a leader is certain that no other process leads.
@@ -46,16 +47,15 @@
 
     /// Returns whether the leadership has ended for good.
     pub fn is_over(&self) -> bool {
-        self.ended.get() || clock::now() > self.valid_until.get() + HOLD_GRACE
+        self.ended.get()
     }
 
     /// Returns what the leader may do now.
     pub fn authority(&self) -> Authority {
-        if !self.ended.get() && clock::now() < self.valid_until.get() {
-            Authority::Certain
-        } else {
-            Authority::HoldOnly
+        if self.ended.get() {
+            return Authority::Suspended;
         }
+        Authority::at(clock::now(), self.valid_until.get(), HOLD_GRACE)
     }
 }
 
--- a/crates/dispatch/src/lead/orders.rs
+++ b/crates/dispatch/src/lead/orders.rs
@@ -47,12 +47,16 @@
 }
 
 /// Sends an order that renews the leases of an endpoint's runs. Doesn't require certain
-/// leadership.
+/// leadership, but a process that was paused for long sends none that it had prepared.
 pub(super) fn hold<P: Platform>(shared: &Rc<Shared<P>>, order: Hold) {
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
-        let timeout = shared.node.order_round_trip.borrow().timeout();
-        let held = shared.node.platform.endpoints().hold(&order, timeout).await;
+        let held = if shared.leadership.validity.authority() == Authority::Suspended {
+            HoldOutcome::NotReported(OrderOutcome::NotSent)
+        } else {
+            let timeout = shared.node.order_round_trip.borrow().timeout();
+            shared.node.platform.endpoints().hold(&order, timeout).await
+        };
         let name = match &held {
             HoldOutcome::Reported(_) => "done",
             HoldOutcome::NotReported(settled) => outcome(*settled),
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -227,6 +227,7 @@
     match now {
         Authority::Certain => log_term(shared, Event::TermCertain),
         Authority::HoldOnly => log_term(shared, Event::TermUncertain),
+        Authority::Suspended => log_term(shared, Event::TermSuspended),
     }
 }
 
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -112,6 +112,9 @@
         "The leader's lease was renewed after a delay.", "Nothing.";
     TermEnded = 233, Info,
         "This process is no longer the leader.", "Nothing.";
+    TermSuspended = 234, Warning,
+        "The leader couldn't renew its lease for seconds, so it sends nothing.",
+        "Check the store. If its leases paused, the leader continues once it is back.";
     PeerUp = 300, Info,
         "A peer responds to heartbeats.", "Nothing.";
     PeerDown = 301, Warning,
