Add switches for scheduling features, read from an INI file

Cause: parts that are built for hard load must take effect only where the settings of a deployment ask for them, and must leave all others as they are.

Ruled out: switching by the deployment's name or by the contracts that its settings list (the same for old and new deployments), and one option of the command line for each feature, which would change the interface with each part.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod declaration;
 pub mod document;
 mod error;
+pub mod features;
 mod ini;
 pub mod key;
 pub mod mistake;
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -6,6 +6,7 @@
 
 pub mod configuration;
 mod endpoint;
+mod feature;
 pub mod leader;
 mod live;
 pub mod record;
@@ -16,6 +17,7 @@
 
 pub use configuration::Configuration;
 pub use endpoint::{Endpoint, EndpointKey, Registration, Target};
+pub use feature::{Feature, Features};
 pub use live::{JobKey, TaskRef};
 pub use record::{Progress, Record, State, Submission};
 pub use resource::Resource;
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -14,7 +14,8 @@
 use super::live::Job;
 use super::run::Run;
 use super::{
-    Configuration, EndpointKey, JobKey, Progress, Resource, RunKey, Target, TaskName,
+    Configuration, EndpointKey, Feature, Features, JobKey, Progress, Resource, RunKey,
+    Target, TaskName,
 };
 use crate::time::{Instant, Timestamp};
 
@@ -61,6 +62,8 @@
     pub inherited_bound: Duration,
     /// Time for which finished jobs are kept.
     pub retention: Duration,
+    /// Features that the deployment's settings switch on.
+    pub features: Features,
 }
 
 /// A term of leadership.
@@ -274,6 +277,11 @@
         self.term
     }
 
+    /// Returns whether the deployment's settings switch a feature on.
+    pub const fn has_feature(&self, feature: Feature) -> bool {
+        self.options.features.contains(feature)
+    }
+
     /// Returns whether an endpoint has seen the fencing token of a later leader.
     pub const fn is_deposed(&self) -> bool {
         self.deposed
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -21,7 +21,7 @@
 };
 use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
-    Configuration, Progress, Registration, Resource, State, Step, TaskName,
+    Configuration, Features, Progress, Registration, Resource, State, Step, TaskName,
 };
 use rhubarbrill_core::time::{Instant, Timestamp};
 
@@ -82,6 +82,8 @@
     pub records: BTreeMap<String, Record>,
     pub observed: Observations,
     pub configuration: Configuration,
+    /// Features that are on.
+    features: Features,
     /// What the leader may do.
     pub authority: Authority,
     /// Whether the store responds to writes.
@@ -107,11 +109,12 @@
 }
 
 /// Returns the scheduler options that the daemon uses.
-pub const fn options() -> Options {
+pub const fn options(features: Features) -> Options {
     Options {
         lease_term: Duration::from_millis(5_000),
         inherited_bound: Duration::from_millis(9_425),
         retention: Duration::from_secs(150),
+        features,
     }
 }
 
@@ -206,15 +209,22 @@
 }
 
 impl Simulation {
-    /// Returns a simulation in its first term, without endpoints.
+    /// Returns a simulation in its first term, without endpoints and with all features off.
     pub fn new(configuration: Configuration) -> Self {
+        Self::with_features(configuration, Features::NONE)
+    }
+
+    /// Returns a simulation in its first term, without endpoints and with these features
+    /// on.
+    pub fn with_features(configuration: Configuration, features: Features) -> Self {
         let now = Instant::from_millis(1_000_000);
         let term = Term {
             fencing_token: 10,
             number: 1,
             start_revision: 10,
         };
-        let mut scheduler = Scheduler::new(options(), term, now);
+        let options = options(features);
+        let mut scheduler = Scheduler::new(options, term, now);
         scheduler.set_configuration(configuration.clone());
         Self {
             now,
@@ -225,6 +235,7 @@
             records: BTreeMap::new(),
             observed: Observations::default(),
             configuration,
+            features,
             authority: Authority::Certain,
             store_available: true,
             policy: None,
@@ -361,7 +372,8 @@
             number: self.term.number + 1,
             start_revision: self.revision,
         };
-        self.scheduler = Scheduler::new(options(), self.term, self.now);
+        let options = options(self.features);
+        self.scheduler = Scheduler::new(options, self.term, self.now);
         self.scheduler.set_configuration(self.configuration.clone());
         for endpoint in self.endpoints.values() {
             if !(registrations_expired && endpoint.link == Link::Unreachable) {
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rhubarbrill_core::job::Features;
+
 /// Settings of one entry host.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -28,4 +30,6 @@
     pub retention: Duration,
     /// CPU share that the process may use, in cores.
     pub cpu: f64,
+    /// Features that are switched on.
+    pub features: Features,
 }
--- a/crates/measure/src/job.rs
+++ b/crates/measure/src/job.rs
@@ -10,7 +10,9 @@
     ActiveRun, Authority, Command, Hold, HoldOutcome, Host, HostState, Options,
     OrderOutcome, RunReport, SaveOutcome, Scheduler, Start, Term,
 };
-use rhubarbrill_core::job::{EndpointKey, Record, Registration, Resource, Spec, Step};
+use rhubarbrill_core::job::{
+    EndpointKey, Features, Record, Registration, Resource, Spec, Step,
+};
 use rhubarbrill_core::time::{Instant, Timestamp};
 
 /// Number of hosts: in the current deployments, after their growth, and as planned.
@@ -98,6 +100,7 @@
             lease_term: Duration::from_secs(5),
             inherited_bound: Duration::from_secs(10),
             retention: Duration::from_secs(150),
+            features: Features::NONE,
         };
         let term = Term {
             fencing_token: 10,
--- a/crates/rhubarbrilld/src/main.rs
+++ b/crates/rhubarbrilld/src/main.rs
@@ -5,7 +5,7 @@
 
 use argh::FromArgs;
 use eyre::{Result, WrapErr};
-use rhubarbrill_config::settings;
+use rhubarbrill_config::{features, settings};
 use rhubarbrill_event::Event;
 use rhubarbrilld::log;
 use rhubarbrilld::run::Daemon;
@@ -29,6 +29,9 @@
     /// run jobs on the users' platform, with the settings file that the environment names
     #[argh(switch)]
     platform: bool,
+    /// file in INI that switches scheduling features on, with --platform
+    #[argh(option)]
+    features: Option<PathBuf>,
     /// check the settings and exit
     #[argh(switch)]
     check: bool,
@@ -37,8 +40,12 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match (&args.settings, args.platform) {
+        (Some(_), false) if args.features.is_some() => {
+            eprintln!("specify --features FILE only with --platform");
+            ExitCode::from(EXIT_INVALID_SETTINGS)
+        }
         (Some(path), false) => run_requests(path, args.check),
-        (None, true) => run_jobs(args.check),
+        (None, true) => run_jobs(args.features.as_deref(), args.check),
         (Some(_), true) | (None, false) => {
             eprintln!("specify either --settings FILE or --platform");
             ExitCode::from(EXIT_INVALID_SETTINGS)
@@ -47,12 +54,18 @@
 }
 
 /// Runs jobs on the users' platform.
-fn run_jobs(check: bool) -> ExitCode {
+fn run_jobs(features: Option<&Path>, check: bool) -> ExitCode {
     let path = rhubarbrill_platform::settings::path();
-    let node = match rhubarbrill_platform::settings::read(&path) {
+    let mut node = match rhubarbrill_platform::settings::read(&path) {
         Ok(node) => node,
         Err(error) => return report_settings_error(error),
     };
+    if let Some(path) = features {
+        node.settings.features = match features::read(path) {
+            Ok(features) => features,
+            Err(report) => return report_settings_error(report),
+        };
+    }
     if check {
         println!("{}: no mistakes", path.display());
         return ExitCode::SUCCESS;
