Use lent slots without gaps: loans wait for a heartbeat, and return by the borrower's run time

Cause: fresh::stale_entry_host_stays_in_its_zone failed beside load (0 requests sent to the other zone for 2 s). Status and logs of a failed play: the entry host is fresh, both peers are up, floor 16 and loan 4 with 8 running and 12 waiting, so only slots of the other zone were missing. A lender that serves no requests itself takes the default run time of 1 s and keeps a lent slot idle for two run times after the term: 1.25 s of use, then 2 s of nothing, each cycle. Beside load the gap passes the 2 s that the test counts. Besides, a loan that missed a heartbeat because the call before was still in flight was dropped, although the lender had given the slot up.

Ruled out: a stale view, an unready or ejected peer, a lack of units, by the same status and logs.

Change: entry hosts report their mean run time with each load (run_time_ms, optional), and a lender keeps a slot by the run time of the borrower; core::gate::Outbox keeps loans until a heartbeat carries them, with the rest of their term. The test prints status and logs of all entry hosts when it fails; its condition and bounds are unchanged.

Conclusion: a fault of the product, mended; the test stays as it is.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -13,6 +13,7 @@
 mod forecast;
 mod linger;
 mod loan;
+mod outbox;
 mod pool;
 mod refusal;
 mod request;
@@ -26,6 +27,7 @@
 
 pub use fleet::Members;
 pub use loan::Loan;
+pub use outbox::Outbox;
 pub use refusal::{Expired, Reason, Refusal, Retry};
 pub use request::{Class, Outcome, Start, Status, Submission, Ticket};
 pub use usage::Usage;
--- a/crates/core/src/gate/loan.rs
+++ b/crates/core/src/gate/loan.rs
@@ -16,7 +16,8 @@
 /// How long a borrower may start work on a borrowed slot.
 const TERM: Duration = Duration::from_millis(1_250);
 /// Number of mean run times after the term for which the lender doesn't use the slot, so
-/// that work started at the end of the term can finish.
+/// that work started at the end of the term can finish. The borrower reports the mean,
+/// because a lender that serves no requests itself doesn't know it.
 const HOLD_RUN_TIMES: u32 = 2;
 /// Free slots of a pool that aren't lent, for requests that arrive next.
 const MIN_FREE_SLOTS: usize = 1;
@@ -45,9 +46,18 @@
     Borrowed,
 }
 
-/// Entry hosts with waiting requests for one pool, and how many slots each may still
-/// borrow.
-type Borrowers = Vec<(String, u32)>;
+/// Entry hosts with waiting requests for one pool.
+type Borrowers = Vec<Borrower>;
+
+/// An entry host with waiting requests for one pool.
+#[derive(Clone, Debug, Default)]
+struct Borrower {
+    entry: String,
+    /// Number of slots that it may still borrow.
+    wanted: u32,
+    /// Mean run time that it reports; `None` if it reports none.
+    run_time: Option<Duration>,
+}
 
 impl Loans {
     pub(super) fn next_wake(&self) -> Option<Instant> {
@@ -114,14 +124,16 @@
         if pool_state.fair_queue.waiting() > 0 {
             return;
         }
-        let end = now + TERM + pool_state.fair_queue.run_time() * HOLD_RUN_TIMES;
+        let own_run_time = pool_state.fair_queue.run_time();
         for host in self.table.free_slots(pool, MIN_FREE_SLOTS) {
-            let Some((to, wanted)) = borrowers.last_mut() else {
+            let Some(borrower) = borrowers.last_mut() else {
                 return;
             };
-            let to = to.clone();
-            *wanted -= 1;
-            if *wanted == 0 {
+            let run_time = borrower.run_time.unwrap_or(own_run_time);
+            let end = now + TERM + run_time * HOLD_RUN_TIMES;
+            let to = borrower.entry.clone();
+            borrower.wanted -= 1;
+            if borrower.wanted == 0 {
                 borrowers.pop();
             }
             let term = TERM;
@@ -134,21 +146,24 @@
     /// Returns the borrowers of each pool. As every lender computes this from the same
     /// reports, each covers only its fraction of the requested slots.
     fn borrowers(&self) -> BTreeMap<PoolKey, Borrowers> {
-        let mut waiting: BTreeMap<PoolKey, BTreeMap<&str, u32>> = BTreeMap::new();
+        let mut waiting: BTreeMap<PoolKey, BTreeMap<&str, Borrower>> = BTreeMap::new();
         for (member, row) in self.reports.rows() {
             if row.waiting > 0 {
                 let members = waiting.entry(row.pool).or_default();
-                *members.entry(member).or_default() += row.waiting;
+                let borrower = members.entry(member).or_default();
+                borrower.wanted += row.waiting;
+                borrower.run_time = borrower.run_time.max(row.run_time);
             }
         }
         let lenders = self.reports.count().max(1);
-        let borrowers = |members: BTreeMap<&str, u32>| {
-            let requested_slots = |(member, count): (&str, u32)| {
-                (member.to_owned(), count.div_ceil(lenders))
+        let borrowers = |members: BTreeMap<&str, Borrower>| {
+            let share = |(member, borrower): (&str, Borrower)| Borrower {
+                entry: member.to_owned(),
+                wanted: borrower.wanted.div_ceil(lenders),
+                run_time: borrower.run_time,
             };
-            let mut borrowers: Borrowers =
-                members.into_iter().map(requested_slots).collect();
-            borrowers.sort_by_key(|&(_, count)| count);
+            let mut borrowers: Borrowers = members.into_iter().map(share).collect();
+            borrowers.sort_by_key(|borrower| borrower.wanted);
             borrowers
         };
         waiting
--- a/crates/core/src/gate/usage.rs
+++ b/crates/core/src/gate/usage.rs
@@ -19,6 +19,8 @@
     pub running: u32,
     /// Number of waiting requests.
     pub waiting: u32,
+    /// Mean run time in the pool as seen by the entry host; `None` if it isn't reported.
+    pub run_time: Option<Duration>,
 }
 
 /// The latest valid report of each other entry host.
@@ -85,6 +87,7 @@
                     pool,
                     running,
                     waiting,
+                    run_time: Some(pool_state.fair_queue.run_time()),
                 },
             );
             rows.collect::<Vec<_>>()
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -275,6 +275,7 @@
             pool,
             running,
             waiting: 0,
+            run_time: None,
         };
         fixture.gate.apply_usage_report(at(0), "e1", vec![usage(6)]);
         if let Some(running) = case.second_report {
--- a/crates/core/tests/gate_loan.rs
+++ b/crates/core/tests/gate_loan.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use rhubarbrill_core::gate::{Gate, Loan, Members, Options, Outcome, Ticket, Usage};
+use rhubarbrill_core::gate::{
+    Gate, Loan, Members, Options, Outcome, Status, Ticket, Usage,
+};
 use rhubarbrill_core::member::Member;
 use rhubarbrill_core::time::Instant;
 use support::{Fixture, at, submission};
@@ -108,6 +110,35 @@
     assert_eq!(cluster.slots(), [SLOTS; 3]);
 }
 
+/// Guards against slots that neither entry host uses: a lender that serves no requests
+/// itself knew no run time and kept lent slots idle for two seconds after each loan.
+#[test]
+fn lent_slots_return_by_the_run_time_of_the_borrower() {
+    const RUN_TIME_MS: u64 = 150;
+    let mut cluster = Cluster::new();
+    cluster.submit(at(0), 0, 200);
+    for round in 0..30 {
+        let now = at(round * RUN_TIME_MS);
+        for ticket in std::mem::take(&mut cluster.running[0]) {
+            let latency = Duration::from_millis(RUN_TIME_MS);
+            let status = Status::Success;
+            let answered = Outcome::Answered { status, latency };
+            cluster.gates[0].finish(now, ticket, answered);
+        }
+        cluster.start_all(now);
+    }
+    let lent_at = 30 * RUN_TIME_MS;
+    (0..3).for_each(|from| cluster.report(at(lent_at), from, [true; 3]));
+    let lender = |cluster: &Cluster| -> u32 {
+        let hosts = cluster.fixture.hosts();
+        hosts.iter().map(|&host| cluster.gates[1].units(host)).sum()
+    };
+    assert_eq!(lender(&cluster), 1, "the lender keeps one slot");
+    let returned = at(lent_at + 1_250 + 3 * RUN_TIME_MS);
+    cluster.start_all(returned);
+    assert_eq!(lender(&cluster), SLOTS, "the slots are back");
+}
+
 /// Counts the slots in use if the lender kept using the slots that it lent.
 #[test]
 fn lending_without_giving_up_slots_oversubscribes() {
--- a/crates/measure/src/cost/bench.rs
+++ b/crates/measure/src/cost/bench.rs
@@ -167,6 +167,7 @@
             pool: self.pools[index % self.pools.len()],
             running: 3,
             waiting: 2,
+            run_time: None,
         };
         let usage: Vec<Usage> = self.workspaces.iter().enumerate().map(row).collect();
         let count = usage.len() * 100;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -53,6 +53,9 @@
     pub running: u32,
     /// Number of requests waiting for an endpoint.
     pub waiting: u32,
+    /// Mean run time of requests in the pool at the sender, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub run_time_ms: Option<u64>,
 }
 
 /// An endpoint slot that the sender lends for a short term.
--- a/crates/rhubarbrilld/examples/slopes.rs
+++ b/crates/rhubarbrilld/examples/slopes.rs
@@ -185,6 +185,7 @@
         pool: format!("pool-{}", number % 160),
         running: 12,
         waiting: 7,
+        run_time_ms: Some(150),
     };
     let address = |number: usize| {
         let octet = u8::try_from(number % 256).unwrap_or_default();
--- a/crates/rhubarbrilld/src/control/node.rs
+++ b/crates/rhubarbrilld/src/control/node.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use rhubarbrill_core::fleet::Fleet;
-use rhubarbrill_core::gate::{Members, Usage};
+use rhubarbrill_core::gate::{Members, Outbox, Usage};
 use rhubarbrill_core::maintenance::Freshness;
 use rhubarbrill_core::member::{Member, Peer, Roster};
 use rhubarbrill_core::time::Instant;
@@ -63,7 +63,7 @@
     applied: Mutex<AppliedState>,
     roster: Mutex<Roster>,
     live: Mutex<Vec<Member>>,
-    loans: Mutex<loans::Outbox>,
+    loans: Mutex<Outbox>,
     /// Addresses of possible peers, as reported by other peers or found in the store.
     candidates: Mutex<BTreeSet<SocketAddr>>,
     store_reachable: AtomicBool,
@@ -429,6 +429,7 @@
         pool: fleet.pools.find(&load.pool)?,
         running: load.running,
         waiting: load.waiting,
+        run_time: load.run_time_ms.map(Duration::from_millis),
     })
 }
 
--- a/crates/rhubarbrilld/src/control/node/heartbeat.rs
+++ b/crates/rhubarbrilld/src/control/node/heartbeat.rs
@@ -67,5 +67,8 @@
         pool: fleet.pools.name(usage.pool)?.to_owned(),
         running: usage.running,
         waiting: usage.waiting,
+        run_time_ms: usage
+            .run_time
+            .and_then(|run_time| u64::try_from(run_time.as_millis()).ok()),
     })
 }
--- a/crates/rhubarbrilld/src/control/node/loans.rs
+++ b/crates/rhubarbrilld/src/control/node/loans.rs
@@ -1,6 +1,5 @@
 //! Lending of endpoint slots between entry hosts. Loans travel in heartbeats.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,22 +9,12 @@
 
 use super::{Node, lock};
 
-/// Loans that wait for the next heartbeat to their borrower, by the borrower's name.
-pub(super) type Outbox = BTreeMap<String, Vec<Loan>>;
-
 impl Node {
-    /// Lends free slots to peers that reported waiting work.
-    ///
-    /// Loans that no heartbeat has carried since the last call are dropped. The lender
-    /// has already subtracted them from its own slots, so a dropped loan is unused until
-    /// its term ends and is never used twice.
+    /// Lends free slots to peers that reported waiting work. The loans go with the next
+    /// heartbeat to each borrower.
     pub fn lend(&self) {
-        let loans = self.engine().change(|gate, now| gate.lend(now));
-        let mut outbox = Outbox::new();
-        for loan in loans {
-            outbox.entry(loan.to.clone()).or_default().push(loan);
-        }
-        *lock(&self.loans) = outbox;
+        let (now, loans) = self.engine().change(|gate, now| (now, gate.lend(now)));
+        lock(&self.loans).add(now, loans);
     }
 
     /// Returns the heartbeat for the peer at `address`, including loans to it.
@@ -42,7 +31,8 @@
 
     /// Returns the heartbeat for the entry host named `entry`, including loans to it.
     pub(super) fn heartbeat_for(&self, entry: &str) -> Heartbeat {
-        let loans = lock(&self.loans).remove(entry).unwrap_or_default();
+        let now = self.engine().clock().now();
+        let loans = lock(&self.loans).take(now, entry);
         let revision = self.revision();
         let slot = |loan: &Loan| slot(&revision.fleet, loan);
         Heartbeat {
--- a/crates/rhubarbrilld/tests/fresh.rs
+++ b/crates/rhubarbrilld/tests/fresh.rs
@@ -74,11 +74,12 @@
     let since = Instant::now();
     sleep(OBSERVATION_TIME);
     let sent = sent_to_z1(&cluster, since);
+    let diagnostics = cluster.diagnostics();
     let answered = load.stop();
     assert_eq!(
         sent > 0,
         case.spills,
-        "{sent} requests sent to the other zone"
+        "{sent} requests sent to the other zone\n{diagnostics}"
     );
     let in_own_zone = answered.iter().filter(|record| record.at > since);
     let in_own_zone = in_own_zone
--- a/crates/rhubarbrilld/tests/support/cluster.rs
+++ b/crates/rhubarbrilld/tests/support/cluster.rs
@@ -221,6 +221,18 @@
         }
     }
 
+    /// Returns the status and the log of every entry host, for the message of a failed
+    /// test.
+    pub fn diagnostics(&self) -> String {
+        let mut text = String::new();
+        for (daemon, config) in self.daemons.iter().zip(&self.entry_configs) {
+            let log = self.folder.read(&format!("{}.log", config.entry));
+            let status = daemon.status();
+            writeln!(text, "{}: {status}\n{log}", config.entry).unwrap();
+        }
+        text
+    }
+
     /// Applies the current declarations of the fleet with the operators' command line.
     pub fn apply(&self) -> Output {
         let declarations = self.folder.write("fleet.ini", &self.fleet.declarations);
--- a/crates/rhubarbrilld/tests/support/daemon.rs
+++ b/crates/rhubarbrilld/tests/support/daemon.rs
@@ -32,6 +32,11 @@
         &self.0
     }
 
+    /// Returns the text of a file; empty if it can't be read.
+    pub fn read(&self, name: &str) -> String {
+        fs::read_to_string(self.0.join(name)).unwrap_or_default()
+    }
+
     pub fn write(&self, name: &str, text: &str) -> PathBuf {
         let path = self.0.join(name);
         fs::write(&path, text).unwrap();
