Count arrivals when submitted, and limit needs and moves to what there is

Cause: after a stalled watch, the jobs of a second counted as arrivals of the instant at which they were read. The forecast then took them for a burst of several times their rate, needs exceeded the fleet, and more hosts were ordered than the hosts' platform accepts.

Change: a job is an arrival at its submission, corrected by the least apparent age of recent jobs, which is the offset of the leader's clock. The needs of all pools together are limited to the capacity of the fleet; running tasks take their part first. Event 237 reports when the needs begin or cease to exceed the fleet.

Ruled out: limiting needs in proportion without regard to running tasks. hosts_with_jobs_in_time_stay failed: a pool with all hosts occupied by work in time gave one away.

Not measured on a whole deployment.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -9,6 +9,7 @@
 mod feature;
 pub mod leader;
 mod live;
+pub mod order_rate;
 pub mod record;
 mod resource;
 mod run;
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -23,6 +23,7 @@
 mod capacity;
 mod event;
 mod finish;
+mod fleet;
 mod forecast;
 mod hosts;
 mod inherit;
@@ -64,6 +65,9 @@
     pub retention: Duration,
     /// Features that the deployment's settings switch on.
     pub features: Features,
+    /// Number of orders for hosts that the platform accepts in a second; `None` if there
+    /// is no limit.
+    pub host_orders_per_second: Option<u32>,
 }
 
 /// A term of leadership.
@@ -261,7 +265,7 @@
             saves_in_flight: 0,
             last_save_at: now,
             deposed: false,
-            hosts: hosts::Hosts::default(),
+            hosts: hosts::Hosts::new(options.host_orders_per_second),
             waves: wave::Waves::default(),
             arrivals: forecast::Arrivals::default(),
             pace_control: pace::PaceControl::default(),
--- a/crates/core/src/job/scheduler/balance.rs
+++ b/crates/core/src/job/scheduler/balance.rs
@@ -18,6 +18,8 @@
     pub(super) needed: Resource,
     pub(super) needed_in_time: Resource,
     pub(super) held: Resource,
+    /// The part of `needed_in_time` for long-running tasks and for running tasks.
+    pub(super) firm: Resource,
 }
 
 impl Balance {
@@ -52,6 +54,25 @@
         capacity.fits(&self.needed(scope), &self.held)
     }
 
+    /// Returns the needed capacity in order of precedence: for long-running and running
+    /// tasks, for other work in time, and for late work.
+    pub(super) fn layers(&self) -> [Resource; 3] {
+        let mut in_time = self.needed_in_time;
+        in_time.subtract(&self.firm);
+        let mut late = self.needed;
+        late.subtract(&self.needed_in_time);
+        [self.firm, in_time, late]
+    }
+
+    /// Sets the needed capacity from its parts in order of precedence.
+    pub(super) const fn set_layers(&mut self, [firm, in_time, late]: [Resource; 3]) {
+        self.firm = firm;
+        self.needed_in_time = firm;
+        self.needed_in_time.add(&in_time);
+        self.needed = self.needed_in_time;
+        self.needed.add(&late);
+    }
+
     /// Raises the needed capacity of both scopes to at least `amount`.
     pub(super) fn raise(&mut self, amount: &Resource) {
         self.needed = self.needed.max(amount);
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -57,6 +57,8 @@
                 let in_time = with_unfilled_share(&outstanding.in_time);
                 balance.needed_in_time = balance.needed_in_time.max(&in_time);
                 balance.needed_in_time.add(&outstanding.long_running);
+                balance.firm = with_unfilled_share(&outstanding.running);
+                balance.firm.add(&outstanding.long_running);
             }
         }
         let joining = self.count_hosts(&mut balances);
@@ -69,6 +71,7 @@
                 balance.raise(&needed);
             }
         }
+        self.limit_to_fleet(&mut balances);
         balances
     }
 
@@ -163,6 +166,7 @@
                         entry.transient.add(&reserved);
                         if class == Class::InTime {
                             entry.in_time.add(&reserved);
+                            entry.running.add(&step.reserved().times(running));
                         }
                     }
                 }
@@ -186,6 +190,9 @@
             let Some((pool, balance)) = short else {
                 return;
             };
+            if self.hosts.order_rate.available(now) == 0 {
+                return;
+            }
             let (pool, balance) = (pool.clone(), *balance);
             let Some(host) = self.find_spare_host(now, scope, &pool, balances) else {
                 return;
@@ -268,7 +275,8 @@
             })
             .map(|host| (host.name.clone(), host.pool.clone(), host.capacity))
             .collect();
-        for (host, pool, capacity) in idle {
+        let available = self.hosts.order_rate.available(now);
+        for (host, pool, capacity) in idle.into_iter().take(available) {
             let Some(balance) = balances.get(&pool).copied() else {
                 continue;
             };
@@ -300,6 +308,7 @@
             destination.held.add(&known.capacity);
         }
         self.mark_leaving(host);
+        self.hosts.order_rate.record(now);
         self.hosts.move_orders.insert(
             host.to_owned(),
             MoveOrder {
@@ -337,6 +346,8 @@
     transient: Resource,
     /// The part of `transient` for jobs that can still meet their deadlines.
     in_time: Resource,
+    /// The part of `in_time` for running tasks.
+    running: Resource,
     /// For long-running tasks.
     long_running: Resource,
 }
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -135,6 +135,15 @@
         /// Capacity that the same pool holds before the move.
         held: Resource,
     },
+    /// The pools began or ceased to need more than the fleet holds.
+    FleetShortage {
+        /// Whether they now need more.
+        is_short: bool,
+        /// Capacity that all pools need.
+        needed: Resource,
+        /// Capacity that the fleet holds.
+        held: Resource,
+    },
     /// The maintenance of a host begins.
     HostMaintained {
         /// Name of the host.
--- a/crates/core/src/job/scheduler/forecast.rs
+++ b/crates/core/src/job/scheduler/forecast.rs
@@ -27,10 +27,16 @@
 /// of it.
 const PLANNING_HORIZON_MS: u64 = 2_000;
 
+/// Period of the estimate of the clock offset. It is longer than any stall of a watch, so
+/// that jobs that were read late don't look like jobs with a slow clock.
+const OFFSET_PERIOD: Duration = Duration::from_secs(10);
+
 /// Work that arrived recently, by pool.
 #[derive(Debug, Default)]
 pub(super) struct Arrivals {
+    /// Arrivals by pool, in order of their times.
     recent: BTreeMap<String, VecDeque<Arrival>>,
+    clock_offset: ClockOffset,
 }
 
 /// The work of one submitted job.
@@ -42,15 +48,31 @@
 }
 
 impl Arrivals {
-    /// Records a job that was submitted to a pool.
-    pub(super) fn record_job(&mut self, now: Instant, pool: &str, record: &Record) {
+    /// Records a job that was submitted to a pool and is `age` old by the clocks of its
+    /// entry host and of the leader.
+    ///
+    /// A job counts as an arrival at the time of its submission. The jobs of a second
+    /// that a stalled watch delivers at once would otherwise look like a burst.
+    pub(super) fn record_job(
+        &mut self,
+        now: Instant,
+        age: Duration,
+        pool: &str,
+        record: &Record,
+    ) {
+        let age = age.saturating_sub(self.clock_offset.update(now, age));
+        if age >= STEADY_WINDOW {
+            return;
+        }
+        let at = now.saturating_sub(age);
         let mut work = Resource::default();
         for step in record.spec.steps.iter().filter(|step| !step.long_running) {
             let busy_ms = step.estimate_ms.min(PLANNING_HORIZON_MS);
             work.add(&step.reserved().times(u64::from(step.count) * busy_ms));
         }
         let recent = self.recent.entry(pool.to_owned()).or_default();
-        recent.push_back(Arrival { at: now, work });
+        let position = recent.partition_point(|arrival| arrival.at <= at);
+        recent.insert(position, Arrival { at, work });
     }
 
     /// Registers a pool that an endpoint has joined.
@@ -80,6 +102,39 @@
     }
 }
 
+/// Estimate of how far the leader's clock is ahead of those of all entry hosts: the least
+/// apparent age of the jobs read lately.
+///
+/// Without it, no job would count as an arrival under a leader whose clock is a second
+/// ahead.
+#[derive(Debug, Default)]
+struct ClockOffset {
+    current: Option<LeastAge>,
+    previous: Option<LeastAge>,
+}
+
+/// Least apparent age of the jobs that were read in a period.
+#[derive(Clone, Copy, Debug)]
+struct LeastAge {
+    since: Instant,
+    age: Duration,
+}
+
+impl ClockOffset {
+    /// Takes a job's apparent age into account and returns the estimate.
+    fn update(&mut self, now: Instant, age: Duration) -> Duration {
+        let is_over =
+            |least: &LeastAge| now.saturating_since(least.since) >= OFFSET_PERIOD;
+        if self.current.as_ref().is_some_and(is_over) {
+            self.previous = self.current.take();
+        }
+        let current = self.current.get_or_insert(LeastAge { since: now, age });
+        current.age = current.age.min(age);
+        let previous = self.previous.map_or(current.age, |least| least.age);
+        current.age.min(previous)
+    }
+}
+
 /// Returns the total work of some jobs.
 fn sum<'a>(arrivals: impl Iterator<Item = &'a Arrival>) -> Resource {
     let mut total = Resource::default();
--- a/crates/core/src/job/scheduler/hosts.rs
+++ b/crates/core/src/job/scheduler/hosts.rs
@@ -5,6 +5,7 @@
 
 use super::Scheduler;
 use crate::job::endpoint::Reachability;
+use crate::job::order_rate::OrderRate;
 use crate::job::{EndpointKey, Resource};
 use crate::time::Instant;
 
@@ -66,6 +67,10 @@
     /// Time before which no order may be issued for a host, as an order of an earlier
     /// leader may still take effect.
     blocked_until: BTreeMap<String, Instant>,
+    /// Limit on the orders that are issued.
+    pub(super) order_rate: OrderRate,
+    /// Whether pools need more than the fleet holds.
+    pub(super) is_fleet_short: bool,
 }
 
 /// An order to move a host.
@@ -76,6 +81,14 @@
 }
 
 impl Hosts {
+    /// Returns an empty list of hosts, with a limit on the orders issued in a second.
+    pub(super) fn new(orders_per_second: Option<u32>) -> Self {
+        Self {
+            order_rate: OrderRate::new(orders_per_second),
+            ..Self::default()
+        }
+    }
+
     /// Returns whether no order, of this leader or an earlier one, is outstanding for a
     /// host.
     pub(super) fn accepts_orders(&self, now: Instant, host: &str) -> bool {
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -163,11 +163,11 @@
         }
         let (progress, progress_version) =
             progress.map_or((None, 0), |(progress, version)| (Some(progress), version));
-        let age = wall.saturating_since(record.submitted);
+        let apparent_age = wall.saturating_since(record.submitted);
         let age = if version >= self.term.start_revision {
-            age.min(MAX_FRESH_AGE)
+            apparent_age.min(MAX_FRESH_AGE)
         } else {
-            age
+            apparent_age
         };
         let arrived_at = now.saturating_sub(age);
         let queue = self.configuration.queue(&record.queue);
@@ -183,7 +183,8 @@
             && !rank::is_late(&job, now)
         {
             let pool = self.pool_of(&job.record).to_owned();
-            self.arrivals.record_job(now, &pool, &job.record);
+            self.arrivals
+                .record_job(now, apparent_age, &pool, &job.record);
         }
         let key = self.jobs.insert(job);
         self.jobs_by_id.insert(id.to_owned(), key);
--- a/crates/core/src/job/scheduler/wave.rs
+++ b/crates/core/src/job/scheduler/wave.rs
@@ -224,10 +224,11 @@
             }
         }
         let free_slots = open.wave.max_at_once.saturating_sub(in_progress);
+        let available = self.hosts.order_rate.available(now);
         let (ready, busy): (Vec<String>, Vec<String>) = candidates
             .into_iter()
             .partition(|name| self.is_free_for_maintenance(name));
-        for name in ready.iter().take(free_slots) {
+        for name in ready.iter().take(free_slots.min(available)) {
             self.issue_maintenance(now, name, number, commands);
         }
         let left = free_slots.saturating_sub(ready.len());
@@ -259,6 +260,7 @@
         commands: &mut Vec<Command>,
     ) {
         self.mark_leaving(name);
+        self.hosts.order_rate.record(now);
         self.waves.draining.remove(name);
         if let Some(open) = self.waves.open.get_mut(&number) {
             open.ordered.insert(name.to_owned(), now);
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -82,8 +82,8 @@
     pub records: BTreeMap<String, Record>,
     pub observed: Observations,
     pub configuration: Configuration,
-    /// Features that are on.
-    features: Features,
+    /// Options of each leader's scheduler.
+    options: Options,
     /// What the leader may do.
     pub authority: Authority,
     /// Whether the store responds to writes.
@@ -115,6 +115,7 @@
         inherited_bound: Duration::from_millis(9_425),
         retention: Duration::from_secs(150),
         features,
+        host_orders_per_second: None,
     }
 }
 
@@ -217,13 +218,17 @@
     /// Returns a simulation in its first term, without endpoints and with these features
     /// on.
     pub fn with_features(configuration: Configuration, features: Features) -> Self {
+        Self::with_options(configuration, options(features))
+    }
+
+    /// Returns a simulation in its first term, without endpoints and with these options.
+    pub fn with_options(configuration: Configuration, options: Options) -> Self {
         let now = Instant::from_millis(1_000_000);
         let term = Term {
             fencing_token: 10,
             number: 1,
             start_revision: 10,
         };
-        let options = options(features);
         let mut scheduler = Scheduler::new(options, term, now);
         scheduler.set_configuration(configuration.clone());
         Self {
@@ -235,7 +240,7 @@
             records: BTreeMap::new(),
             observed: Observations::default(),
             configuration,
-            features,
+            options,
             authority: Authority::Certain,
             store_available: true,
             policy: None,
@@ -372,8 +377,7 @@
             number: self.term.number + 1,
             start_revision: self.revision,
         };
-        let options = options(self.features);
-        self.scheduler = Scheduler::new(options, self.term, self.now);
+        self.scheduler = Scheduler::new(self.options, self.term, self.now);
         self.scheduler.set_configuration(self.configuration.clone());
         for endpoint in self.endpoints.values() {
             if !(registrations_expired && endpoint.link == Link::Unreachable) {
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -130,6 +130,20 @@
             );
             event::log(out, Event::HostMoves, fields);
         }
+        SchedulerEvent::FleetShortage {
+            is_short,
+            needed,
+            held,
+        } => {
+            let fields = o!(
+                "state" => if is_short { "short" } else { "covered" },
+                "needed_cpu" => needed.cpu,
+                "held_cpu" => held.cpu,
+                "needed_memory_mb" => needed.memory_mb,
+                "held_memory_mb" => held.memory_mb,
+            );
+            event::log(out, Event::FleetShortage, fields);
+        }
         SchedulerEvent::HostMaintained { host, wave } => {
             event::log(
                 out,
--- a/crates/dispatch/src/lead/takeover.rs
+++ b/crates/dispatch/src/lead/takeover.rs
@@ -139,6 +139,7 @@
             + LEASE_MARGIN,
         retention: settings.retention.mul_f64(RETENTION_FACTOR),
         features: settings.features,
+        host_orders_per_second: settings.host_orders_per_second,
     };
     let mut scheduler = Scheduler::new(options, shared.leadership.term, now);
     let view = shared.node.view.borrow();
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -30,6 +30,9 @@
     pub retention: Duration,
     /// CPU share that the process may use, in cores.
     pub cpu: f64,
+    /// Number of orders for hosts that the platform accepts in a second; `None` if there
+    /// is no limit.
+    pub host_orders_per_second: Option<u32>,
     /// Features that are switched on.
     pub features: Features,
 }
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -115,6 +115,9 @@
     TermSuspended = 234, Warning,
         "The leader couldn't renew its lease for seconds, so it sends nothing.",
         "Check the store. If its leases paused, the leader continues once it is back.";
+    FleetShortage = 237, Info,
+        "All pools together began or ceased to need more than the fleet holds.",
+        "If it lasts, add hosts or reduce the load.";
     PeerUp = 300, Info,
         "A peer responds to heartbeats.", "Nothing.";
     PeerDown = 301, Warning,
--- a/crates/measure/src/job.rs
+++ b/crates/measure/src/job.rs
@@ -101,6 +101,7 @@
             inherited_bound: Duration::from_secs(10),
             retention: Duration::from_secs(150),
             features: Features::NONE,
+            host_orders_per_second: None,
         };
         let term = Term {
             fencing_token: 10,
