List again at once when the leader's watches have stalled

Cause: after a compaction of the store's history, watches may receive nothing for a second. The leader took that for a quiet store: no job was read and no host moved until the watch call ended.

Change: a write of job states that the leader's own watch hasn't delivered 200 ms after the store's answer, and 20 ms after it was first found overdue, tells of a stall. The leader then lists submitted jobs and registrations at once and every 200 ms while the stall lasts. Event 235 reports its start and end.

The time without moves on a whole deployment wasn't measured, nor how often the threshold is reached without a stall.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -15,6 +15,7 @@
 mod run;
 pub mod scheduler;
 pub mod spec;
+pub mod watch_progress;
 
 pub use configuration::Configuration;
 pub use endpoint::{Endpoint, EndpointKey, Registration, Target};
--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -9,6 +9,7 @@
 mod recovery;
 mod registrations;
 mod save;
+mod stall;
 mod takeover;
 mod term;
 
--- a/crates/dispatch/src/lead/takeover.rs
+++ b/crates/dispatch/src/lead/takeover.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{Options, Scheduler, WaveProgress};
+use rhubarbrill_core::job::watch_progress::WatchProgress;
 use rhubarbrill_core::time::Instant;
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -45,6 +46,7 @@
     pub(super) pending: Option<Pending>,
     pub(super) next_pending: Instant,
     pub(super) next_hosts: Instant,
+    pub(super) watch_progress: WatchProgress,
 }
 
 impl LeaderState {
@@ -114,6 +116,7 @@
         pending: None,
         next_pending: now,
         next_hosts: now,
+        watch_progress: WatchProgress::default(),
     };
     // Endpoints come first, because the runs of jobs are matched with them.
     for read in [endpoints?, jobs?] {
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -12,6 +12,7 @@
 use rhubarbrill_core::time::Instant;
 use rhubarbrill_event::Event;
 use slog::o;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio_util::sync::CancellationToken;
 
@@ -20,7 +21,7 @@
 use super::orders::notify;
 use super::recovery::RecoveredState;
 use super::takeover::{self, LeaderState};
-use super::{hosts, notes, orders, save};
+use super::{hosts, notes, orders, save, stall};
 use crate::node::Node;
 use crate::platform::{Changes, HostOrderOutcome, Platform, Section, Store};
 use crate::view::{Delta, Pending};
@@ -79,6 +80,8 @@
     pub(super) leadership: Leadership,
     pub(super) message_sender: UnboundedSender<Message>,
     pub(super) host_orders: UnboundedSender<Order>,
+    /// Notifies the tasks that watch the leader's sections to list them now.
+    pub(super) relist: Notify,
 }
 
 /// Leads until the leadership ends or the process is asked to stop.
@@ -93,6 +96,7 @@
         leadership,
         message_sender,
         host_orders,
+        relist: Notify::new(),
     });
     let done = CancellationToken::new();
     let renewal = tokio::task::spawn_local(renew(Rc::clone(&shared), done.clone()));
@@ -127,6 +131,7 @@
             &shared.node,
             section,
             sync::LEADER_WATCH_PAUSE,
+            &shared.relist,
             move |changes| {
                 notify(shared, Message::SectionChanged(section, changes));
             },
@@ -181,6 +186,7 @@
         if leader.scheduler.is_deposed() || shared.leadership.validity.is_over() {
             return;
         }
+        stall::check(shared, &mut leader.watch_progress);
         let authority = shared.leadership.validity.authority();
         log_authority_change(shared, &mut last_authority, authority);
         decide(shared, &mut leader, authority);
@@ -294,6 +300,7 @@
             scheduler.handle_policy_answer(now, &question, ruling);
         }
         Message::Saved(saves, ending) => {
+            stall::record_write(&mut leader.watch_progress, &saves, &ending);
             scheduler.handle_save_outcome(now, &saves, &ending);
         }
         Message::Removed(ids, done) => scheduler.handle_removal_outcome(&ids, done),
--- a/crates/dispatch/src/sync.rs
+++ b/crates/dispatch/src/sync.rs
@@ -6,6 +6,7 @@
 
 use rhubarbrill_event::Event;
 use slog::o;
+use tokio::sync::Notify;
 
 use crate::node::Node;
 use crate::platform::{Change, Changes, Failure, Platform, Section, Store};
@@ -37,28 +38,31 @@
     /// Store revision of the last change of each existing key.
     revisions: HashMap<String, u64>,
     unreachable: bool,
+    relist: &'a Notify,
 }
 
 /// Keeps the view that every process has up to date until the process ends.
 pub async fn follow_shared<P: Platform>(node: Rc<Node<P>>) {
     let operators = Section::Operators;
     let shared = Section::Records(key::SHARED_PREFIX);
+    let never = Notify::new();
     tokio::join!(
-        follow(&node, operators, WATCH_PAUSE, |changes| apply_shared(
-            &node, operators, changes
-        )),
-        follow(&node, shared, WATCH_PAUSE, |changes| apply_shared(
-            &node, shared, changes
-        )),
+        follow(&node, operators, WATCH_PAUSE, &never, |changes| {
+            apply_shared(&node, operators, changes);
+        }),
+        follow(&node, shared, WATCH_PAUSE, &never, |changes| {
+            apply_shared(&node, shared, changes);
+        }),
     );
 }
 
 /// Follows a section forever: lists it completely, then watches its changes. Starts over
-/// if the store no longer retains the history.
+/// if the store no longer retains the history, and on each notification of `relist`.
 pub async fn follow<P: Platform>(
     node: &Node<P>,
     section: Section,
     pause: Duration,
+    relist: &Notify,
     on_changes: impl Fn(Changes),
 ) {
     let mut follower = Follower {
@@ -68,6 +72,7 @@
         as_of: 0,
         revisions: HashMap::new(),
         unreachable: true,
+        relist,
     };
     loop {
         match follower.list().await {
@@ -121,11 +126,15 @@
         Ok(self.retain_newer(read))
     }
 
-    /// Watches changes until the store no longer retains the needed history.
+    /// Watches changes until the store no longer retains the needed history or a listing is
+    /// requested.
     async fn watch(&mut self, on_changes: &impl Fn(Changes)) {
         loop {
             let store = self.node.platform.store();
-            let watched = store.watch(self.section, self.as_of, WATCH_WAIT).await;
+            let watched = tokio::select! {
+                watched = store.watch(self.section, self.as_of, WATCH_WAIT) => watched,
+                () = self.relist.notified() => return,
+            };
             self.node.record_store_call(&watched);
             match watched {
                 Ok(changes) => {
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -115,6 +115,9 @@
     TermSuspended = 234, Warning,
         "The leader couldn't renew its lease for seconds, so it sends nothing.",
         "Check the store. If its leases paused, the leader continues once it is back.";
+    WatchStalled = 235, Warning,
+        "The leader's watches don't deliver its own writes; it lists what they follow.",
+        "Nothing: a log line says when they resume. Check the store if it repeats.";
     FleetShortage = 237, Info,
         "All pools together began or ceased to need more than the fleet holds.",
         "If it lasts, add hosts or reduce the load.";
--- a/crates/rhubarbrilld/tests/jobs.rs
+++ b/crates/rhubarbrilld/tests/jobs.rs
@@ -263,6 +263,30 @@
     deployment.wait_until_completed(4);
 }
 
+/// Fault: the store's history is compacted, and watches receive nothing for longer than
+/// the test. The end of the first job is the leader's own write that its watch doesn't
+/// deliver.
+///
+/// A leader that relies on its watches starts no new job until they resume.
+#[test]
+fn jobs_start_while_watches_are_silent() {
+    let deployment = deploy(2, RUN_TIME);
+    deployment.submit(0);
+    wait_until("the first job starts", || {
+        !deployment.users.started_runs().is_empty()
+    });
+    deployment.users.set_store_fault(StoreFault::WatchesSilent);
+    deployment.users.compact();
+    deployment.submit(1);
+    wait_until("all tasks start", || {
+        deployment.users.started_runs().len() == 8
+    });
+    let leader = &deployment.entries[deployment.leader()];
+    assert!(leader.read_log(&deployment.folder).contains("WatchStalled"));
+    deployment.users.set_store_fault(StoreFault::None);
+    deployment.wait_until_completed(2);
+}
+
 #[test]
 fn tasks_move_from_a_cut_off_endpoint_after_its_lease() {
     let deployment = deploy(1, Duration::from_millis(300));
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -27,6 +27,8 @@
     Unavailable,
     /// Transactions are applied, but receive no response.
     WritesUnanswered,
+    /// Watches receive nothing.
+    WatchesSilent,
     /// Every request is delayed by this many milliseconds.
     Delayed(u64),
 }
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -85,6 +85,11 @@
             if state.store_fault == StoreFault::Unavailable {
                 return Some((StatusCode::SERVICE_UNAVAILABLE, Value::Null));
             }
+            if state.store_fault == StoreFault::WatchesSilent {
+                drop(state);
+                tokio::time::sleep(POLL_INTERVAL).await;
+                continue;
+            }
             if after < state.compact_revision {
                 return Some((StatusCode::GONE, Value::Null));
             }
