Retry host orders that can't be recorded, with growing delays

Cause: an order whose record the store didn't take was reported as failed, and the scheduler decided on it again 100 ms later, with a log line for each host each time.

Change: such orders wait, at most one for each host. Event 236 reports each record that failed.

Ruled out: a delay for each host; one record covers all of them.

Result: tests of the decision module pass, and the seven tests of the daemon that concern hosts or the store pass. The module is new, so its tests have no earlier state to fail in. Not measured on a whole deployment.

Conclusion: kept, without a switch, since it mends a fault.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 mod endpoint;
 mod feature;
+pub mod host_order;
 pub mod leader;
 mod live;
 pub mod order_rate;
--- a/crates/dispatch/src/lead/hosts.rs
+++ b/crates/dispatch/src/lead/hosts.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rhubarbrill_core::job::scheduler::{Authority, Maintenance, Move};
+use rhubarbrill_core::job::host_order::{HostOrder, PendingOrder, PendingOrders};
+use rhubarbrill_core::job::scheduler::Authority;
 use rhubarbrill_core::time::Instant;
 use rhubarbrill_event::Event;
 use slog::o;
@@ -21,9 +22,12 @@
 /// Interval between listings of the hosts.
 const LIST_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Maximum number of orders that one record covers.
+/// Maximum number of new orders that are taken in at once.
 const MAX_BATCH: usize = 64;
 
+/// Reason of an order that was given up because its record couldn't be stored in time.
+const NOT_RECORDED: &str = "order not recorded in the store";
+
 /// Lists the hosts periodically until the term ends.
 pub(super) async fn list<P: Platform>(shared: Rc<Shared<P>>, done: CancellationToken) {
     let mut unreachable = false;
@@ -49,33 +53,8 @@
     }
 }
 
-/// An order for a host.
-#[derive(Clone, Debug)]
-pub(super) enum Order {
-    /// Move the host to another pool.
-    Move(Move),
-    /// Begin the maintenance of the host.
-    Maintain(Maintenance),
-}
-
-impl Order {
-    fn host(&self) -> &str {
-        match self {
-            Self::Move(order) => &order.host,
-            Self::Maintain(order) => &order.host,
-        }
-    }
-
-    const fn name(&self) -> &'static str {
-        match self {
-            Self::Move(_) => "move",
-            Self::Maintain(_) => "maintenance",
-        }
-    }
-}
-
 /// Queues an order for the task that sends them.
-pub(super) fn enqueue<P>(shared: &Shared<P>, order: Order) {
+pub(super) fn enqueue<P>(shared: &Shared<P>, order: HostOrder) {
     // The receiver is gone after the term has ended.
     let _ = shared.host_orders.send(order);
 }
@@ -85,48 +64,114 @@
 /// short time, and a new leader must not have to wait for hosts that received none.
 pub(super) async fn send<P: Platform>(
     shared: Rc<Shared<P>>,
-    mut orders: UnboundedReceiver<Order>,
+    mut orders: UnboundedReceiver<HostOrder>,
     done: CancellationToken,
 ) {
     let mut recent: BTreeMap<String, Instant> = BTreeMap::new();
+    let limit = shared.node.settings.host_orders_per_second;
+    let mut pending = PendingOrders::new(clock::now(), limit);
     loop {
-        let mut batch = Vec::new();
+        let mut new = Vec::new();
         tokio::select! {
             () = done.cancelled() => return,
-            _ = orders.recv_many(&mut batch, MAX_BATCH) => {}
+            _ = orders.recv_many(&mut new, MAX_BATCH) => {}
+            () = wait_until(pending.next_attempt()) => {}
         }
         let now = clock::now();
-        let pause = shared.node.settings.host_order_pause;
-        recent.retain(|_, at| now.saturating_since(*at) < pause);
-        recent.extend(batch.iter().map(|order| (order.host().to_owned(), now)));
-        let age = |at: &Instant| now.saturating_since(*at).as_millis();
-        let hosts = recent
-            .iter()
-            .map(|(host, at)| (host.clone(), u64::try_from(age(at)).unwrap_or(0)))
-            .collect();
-        let recorded = save::record_orders(&shared, OrdersRecord { hosts }).await;
-        for order in batch {
-            tokio::task::spawn_local(execute(Rc::clone(&shared), order, recorded));
+        for order in new {
+            pending.add(now, order);
+        }
+        for expired in pending.take_expired(now) {
+            settle(
+                &shared,
+                expired.order,
+                HostOrderOutcome::Refused(NOT_RECORDED),
+            );
+        }
+        let batch = pending.take_due(now);
+        if batch.is_empty() {
+            continue;
+        }
+        if record(&shared, &mut recent, &batch).await {
+            pending.record_sent(clock::now(), batch.len());
+            for order in batch {
+                tokio::task::spawn_local(execute(Rc::clone(&shared), order));
+            }
+        } else {
+            postpone(&shared, &mut pending, batch);
         }
     }
 }
 
-async fn execute<P: Platform>(shared: Rc<Shared<P>>, order: Order, recorded: bool) {
+/// Waits until the given time, or forever if there is none.
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep(at.saturating_since(clock::now())).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Records which hosts are about to receive orders. Returns whether the record is
+/// certainly stored.
+async fn record<P: Platform>(
+    shared: &Shared<P>,
+    recent: &mut BTreeMap<String, Instant>,
+    batch: &[PendingOrder],
+) -> bool {
+    let now = clock::now();
+    let pause = shared.node.settings.host_order_pause;
+    recent.retain(|_, at| now.saturating_since(*at) < pause);
+    let hosts = batch.iter().map(|pending| pending.order.host().to_owned());
+    recent.extend(hosts.map(|host| (host, now)));
+    let age = |at: &Instant| now.saturating_since(*at).as_millis();
+    let hosts = recent
+        .iter()
+        .map(|(host, at)| (host.clone(), u64::try_from(age(at)).unwrap_or(0)))
+        .collect();
+    save::record_orders(shared, OrdersRecord { hosts }).await
+}
+
+/// Keeps the orders of a batch that couldn't be recorded for the next attempt.
+fn postpone<P>(
+    shared: &Shared<P>,
+    pending: &mut PendingOrders,
+    batch: Vec<PendingOrder>,
+) {
+    let now = clock::now();
+    let ages = batch
+        .iter()
+        .map(|pending| now.saturating_since(pending.decided_at));
+    let age = ages.max().unwrap_or_default();
+    let delay = pending.retry(now, batch);
+    let fields = o!(
+        "orders" => pending.len(),
+        "age_ms" => u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        "delay_ms" => u64::try_from(delay.as_millis()).unwrap_or(u64::MAX),
+    );
+    event::log(&shared.node.log, Event::HostOrdersPostponed, fields);
+}
+
+async fn execute<P: Platform>(shared: Rc<Shared<P>>, pending: PendingOrder) {
     let certain = shared.leadership.validity.authority() == Authority::Certain;
     let fence = shared.leadership.term.fencing_token;
     let hosts = shared.node.platform.hosts();
-    let outcome = match &order {
-        _ if !recorded => HostOrderOutcome::Refused("order not recorded in the store"),
+    let outcome = match &pending.order {
+        _ if pending.is_expired(clock::now()) => HostOrderOutcome::Refused(NOT_RECORDED),
         _ if !certain => HostOrderOutcome::Refused("leadership uncertain"),
-        Order::Move(order) => hosts.move_host(order, fence).await,
-        Order::Maintain(order) => hosts.begin_maintenance(order, fence).await,
+        HostOrder::Move(order) => hosts.move_host(order, fence).await,
+        HostOrder::Maintain(order) => hosts.begin_maintenance(order, fence).await,
     };
-    report(&shared, order.name(), order.host(), outcome);
+    settle(&shared, pending.order, outcome);
+}
+
+/// Reports the outcome of an order to the leader's task.
+fn settle<P>(shared: &Shared<P>, order: HostOrder, outcome: HostOrderOutcome) {
+    report(shared, order.name(), order.host(), outcome);
     let message = match order {
-        Order::Move(order) => Message::Moved(order.host, outcome),
-        Order::Maintain(order) => Message::Maintained(order, outcome),
+        HostOrder::Move(order) => Message::Moved(order.host, outcome),
+        HostOrder::Maintain(order) => Message::Maintained(order, outcome),
     };
-    notify(&shared, message);
+    notify(shared, message);
 }
 
 fn report<P>(
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rhubarbrill_core::job::host_order::HostOrder;
 use rhubarbrill_core::job::scheduler::{
     Authority, Command, HoldOutcome, Host, Maintenance, OrderOutcome, Pace, PolicyAnswer,
     PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress, WaveState,
@@ -17,7 +18,6 @@
 use tokio_util::sync::CancellationToken;
 
 use super::election::Leadership;
-use super::hosts::Order;
 use super::orders::notify;
 use super::recovery::RecoveredState;
 use super::takeover::{self, LeaderState};
@@ -79,7 +79,7 @@
     pub(super) node: Rc<Node<P>>,
     pub(super) leadership: Leadership,
     pub(super) message_sender: UnboundedSender<Message>,
-    pub(super) host_orders: UnboundedSender<Order>,
+    pub(super) host_orders: UnboundedSender<HostOrder>,
     /// Notifies the tasks that watch the leader's sections to list them now.
     pub(super) relist: Notify,
 }
@@ -340,8 +340,8 @@
         Command::Pace(order) => orders::pace(shared, order),
         Command::Save(saves) => save::save_progress(shared, saves),
         Command::Remove(ids) => save::remove_finished(shared, ids),
-        Command::Move(order) => hosts::enqueue(shared, Order::Move(order)),
-        Command::Maintain(order) => hosts::enqueue(shared, Order::Maintain(order)),
+        Command::Move(order) => hosts::enqueue(shared, HostOrder::Move(order)),
+        Command::Maintain(order) => hosts::enqueue(shared, HostOrder::Maintain(order)),
         Command::ReportWave(wave, state) => {
             let done = scheduler.wave_progress(clock::now(), wave.number);
             save::report_wave(shared, wave, state, done);
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -118,6 +118,9 @@
     WatchStalled = 235, Warning,
         "The leader's watches don't deliver its own writes; it lists what they follow.",
         "Nothing: a log line says when they resume. Check the store if it repeats.";
+    HostOrdersPostponed = 236, Warning,
+        "Orders for hosts couldn't be recorded in the store; they are tried again later.",
+        "Check the store if it repeats.";
     FleetShortage = 237, Info,
         "All pools together began or ceased to need more than the fleet holds.",
         "If it lasts, add hosts or reduce the load.";
