Keep an endpoint in use when one of its orders gets no answer

It got no work until its next reply, and the hold in flight may wait there for 1.5 s.

Change: an order without an answer says nothing about its endpoint if any reply arrived after the order was sent. Otherwise the endpoint is in doubt until its next reply: it gets no work and no renewed lease and its tasks don't count as available, as before, but it isn't declared lost. A further order or a hold without an answer makes it unreachable. For 10 s after an order without an answer, holds wait at most 220 ms, so that a reply arrives within each order's timeout.

Ruled out: placing tasks on an endpoint in doubt, since in a zone that is cut off each of them waits for the end of the lease.

An endpoint that answers nothing is still declared lost. The simulation gained start orders that time out and holds that wait at endpoints. The cost of shorter holds wasn't measured.

--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -24,6 +24,9 @@
 /// Time for which an endpoint with consecutive failures receives no new work.
 const FAILURE_BACKOFF: Duration = Duration::from_secs(4);
 
+/// Time for which an order without an answer shortens the waits of holds.
+const UNANSWERED_MEMORY: Duration = Duration::from_secs(10);
+
 /// An endpoint's entry in the registry, written by the endpoint itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Registration {
@@ -65,6 +68,17 @@
     pub address: SocketAddr,
 }
 
+/// What an order without an answer says about its endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Doubt {
+    /// Nothing new.
+    None,
+    /// The endpoint may be out of reach.
+    New,
+    /// The endpoint is out of reach.
+    Settled,
+}
+
 /// Whether the leader can reach an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Reachability {
@@ -72,7 +86,11 @@
     Unknown,
     /// The last order was answered.
     Reachable,
-    /// The last order got no answer; holds the time at which contact was lost.
+    /// An order got no answer, and nothing else has been answered since that order was
+    /// sent. Nothing is placed here and no lease is renewed until the next answer.
+    Doubtful,
+    /// A hold, or several orders in succession, got no answer; holds the time at which
+    /// contact was lost.
     Unreachable(Instant),
 }
 
@@ -103,6 +121,10 @@
     /// When its registration was found missing; `None` while it is registered.
     pub(super) unregistered_since: Option<Instant>,
     pub(super) reachability: Reachability,
+    /// When the last reply arrived; `None` if none has.
+    pub(super) replied_at: Option<Instant>,
+    /// When an order, other than a hold, last got no answer.
+    unanswered_at: Option<Instant>,
     clock: ClockReading,
     /// Latest time at which one of its runs may still be executing if no further order
     /// arrives.
@@ -151,6 +173,8 @@
             runs: BTreeSet::new(),
             unregistered_since: None,
             reachability: Reachability::Unknown,
+            replied_at: None,
+            unanswered_at: None,
             lease_bound: now,
             hold_sent_at: None,
             next_hold: now,
@@ -193,6 +217,28 @@
         self.reachability == Reachability::Reachable && self.clock.at >= instant
     }
 
+    /// Records that an order that was sent at `sent`, other than a hold, got no answer.
+    ///
+    /// A reply since then shows that the endpoint can be reached. Without one, the
+    /// endpoint is in doubt; a further order without an answer settles it.
+    pub(super) fn record_unanswered(&mut self, now: Instant, sent: Instant) -> Doubt {
+        self.unanswered_at = Some(now);
+        if self.replied_at.is_some_and(|at| at > sent) {
+            return Doubt::None;
+        }
+        match self.reachability {
+            Reachability::Reachable => Doubt::New,
+            Reachability::Doubtful | Reachability::Unknown => Doubt::Settled,
+            Reachability::Unreachable(_) => Doubt::None,
+        }
+    }
+
+    /// Returns whether orders have lately got no answer.
+    pub(super) fn has_unanswered_orders(&self, now: Instant) -> bool {
+        self.unanswered_at
+            .is_some_and(|at| now.saturating_since(at) < UNANSWERED_MEMORY)
+    }
+
     /// Records a reading of the endpoint's clock that came with a reply.
     pub(super) const fn read_clock(&mut self, reading_ms: u64, now: Instant) {
         self.clock = ClockReading {
--- a/crates/core/src/job/run.rs
+++ b/crates/core/src/job/run.rs
@@ -115,8 +115,8 @@
     /// The run is to be stopped and no stop order is in flight; holds the time at which
     /// the next one is due.
     Stopping(Instant),
-    /// A stop order is in flight.
-    StopSent,
+    /// A stop order is in flight; holds the time at which it was sent.
+    StopSent(Instant),
     /// The endpoint acknowledged the stop order at this time.
     StopAcknowledged(Instant),
 }
@@ -126,7 +126,7 @@
     pub(super) const fn is_stopping(self) -> bool {
         matches!(
             self,
-            Self::Stopping(_) | Self::StopSent | Self::StopAcknowledged(_)
+            Self::Stopping(_) | Self::StopSent(_) | Self::StopAcknowledged(_)
         )
     }
 
@@ -140,7 +140,7 @@
             | Self::Starting
             | Self::Unconfirmed
             | Self::Stopping(_)
-            | Self::StopSent => None,
+            | Self::StopSent(_) => None,
         }
     }
 }
--- a/crates/core/src/job/scheduler/lease.rs
+++ b/crates/core/src/job/scheduler/lease.rs
@@ -65,7 +65,9 @@
             Reachability::Reachable => {
                 now.saturating_since(since) > UNREGISTERED_RETENTION
             }
-            Reachability::Unreachable(_) => now > endpoint.lease_bound,
+            Reachability::Doubtful | Reachability::Unreachable(_) => {
+                now > endpoint.lease_bound
+            }
             Reachability::Unknown => {
                 now.saturating_since(since) > self.options.inherited_bound
             }
--- a/crates/core/src/job/scheduler/order.rs
+++ b/crates/core/src/job/scheduler/order.rs
@@ -14,6 +14,12 @@
 /// Longest wait on endpoints whose latencies are being controlled.
 const PACED_HOLD_WAIT: Duration = Duration::from_millis(700);
 
+/// Longest wait on endpoints that have lately left orders unanswered. Together with the
+/// pause between two holds it is shorter than the timeout of an order, which is 300 ms or
+/// more. A reply therefore arrives within each timeout, and an order without an answer
+/// casts no doubt on its endpoint.
+const DOUBTED_HOLD_WAIT: Duration = Duration::from_millis(220);
+
 /// Pause between two holds of an endpoint, in which ends accumulate.
 const HOLD_PAUSE: Duration = Duration::from_millis(40);
 
@@ -35,9 +41,12 @@
             .collect();
         let bound = self.lease_bound(now);
         for key in due {
-            let wait = self.hold_wait(key);
+            let wait = self.hold_wait(now, key);
             let endpoint = &mut self.endpoints[key];
-            let renews = !matches!(endpoint.reachability, Reachability::Unreachable(_));
+            let renews = matches!(
+                endpoint.reachability,
+                Reachability::Reachable | Reachability::Unknown
+            );
             endpoint.hold_sent_at = Some(now);
             endpoint.sent_acknowledgement = endpoint.acknowledged();
             if renews {
@@ -57,12 +66,17 @@
     }
 
     /// Returns how long an endpoint may wait for an end before it answers a hold.
-    fn hold_wait(&self, key: EndpointKey) -> Duration {
-        match (self.can_wait(key), self.needs_pacing(key)) {
-            (false, _) => Duration::ZERO,
-            (true, true) => PACED_HOLD_WAIT,
-            (true, false) => HOLD_WAIT,
+    fn hold_wait(&self, now: Instant, key: EndpointKey) -> Duration {
+        if !self.can_wait(key) {
+            return Duration::ZERO;
+        }
+        if self.endpoints[key].has_unanswered_orders(now) {
+            return DOUBTED_HOLD_WAIT;
+        }
+        if self.needs_pacing(key) {
+            return PACED_HOLD_WAIT;
         }
+        HOLD_WAIT
     }
 
     /// Returns whether a hold may wait at all, which is the case if no run's state must
@@ -109,7 +123,7 @@
             if now < due {
                 continue;
             }
-            run.phase = Phase::StopSent;
+            run.phase = Phase::StopSent(now);
             commands.push(Command::Stop(Stop {
                 run: key,
                 target: endpoint.target(),
--- a/crates/core/src/job/scheduler/pace.rs
+++ b/crates/core/src/job/scheduler/pace.rs
@@ -77,7 +77,7 @@
         if let Some(run) = self.runs.get_mut(order.run) {
             run.pace_sent = false;
             let endpoint = run.endpoint;
-            self.update_reachability(now, endpoint, outcome);
+            self.handle_reply(now, endpoint, now, outcome);
         }
     }
 
--- a/crates/core/src/job/scheduler/reply.rs
+++ b/crates/core/src/job/scheduler/reply.rs
@@ -4,7 +4,7 @@
 
 use super::outcome::{OrderOutcome, Rejection};
 use super::{Scheduler, SchedulerEvent};
-use crate::job::endpoint::Reachability;
+use crate::job::endpoint::{Doubt, Reachability};
 use crate::job::run::Phase;
 use crate::job::{EndpointKey, RunKey};
 use crate::time::Instant;
@@ -37,8 +37,8 @@
         let Some(run) = self.runs.get(key) else {
             return;
         };
-        let (endpoint, phase) = (run.endpoint, run.phase);
-        self.update_reachability(now, endpoint, outcome);
+        let (endpoint, phase, sent) = (run.endpoint, run.phase, run.sent_at);
+        self.handle_reply(now, endpoint, sent, outcome);
         match outcome {
             OrderOutcome::Done(_) if phase == Phase::Starting => {
                 self.runs[key].phase = Phase::Running(now);
@@ -150,6 +150,10 @@
             return;
         };
         let endpoint = run.endpoint;
+        let sent = match run.phase {
+            Phase::StopSent(sent) => sent,
+            _ => now,
+        };
         run.phase = match outcome {
             OrderOutcome::Done(_) => Phase::StopAcknowledged(now),
             _ => Phase::Stopping(now + RETRY_PAUSE),
@@ -157,7 +161,7 @@
         if let OrderOutcome::Rejected(Rejection::Fenced, _) = outcome {
             self.deposed = true;
         }
-        self.update_reachability(now, endpoint, outcome);
+        self.handle_reply(now, endpoint, sent, outcome);
         if let Some(endpoint) = self.endpoints.get_mut(endpoint)
             && matches!(outcome, OrderOutcome::Done(_))
         {
@@ -165,8 +169,38 @@
         }
     }
 
-    /// Updates the state of an endpoint from the result of an order, whatever the order
-    /// was.
+    /// Updates the state of an endpoint from the result of an order, other than a hold,
+    /// that was sent at `sent`.
+    ///
+    /// One order without an answer doesn't make an endpoint unreachable. It would keep
+    /// other tasks off the endpoint until the hold in flight returns, which may wait there
+    /// for seconds.
+    pub(super) fn handle_reply(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        sent: Instant,
+        outcome: OrderOutcome,
+    ) {
+        if outcome != OrderOutcome::Unknown {
+            self.update_reachability(now, key, outcome);
+            return;
+        }
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        match endpoint.record_unanswered(now, sent) {
+            Doubt::None => {}
+            Doubt::New => {
+                endpoint.reachability = Reachability::Doubtful;
+                endpoint.next_hold = now;
+            }
+            Doubt::Settled => self.update_reachability(now, key, outcome),
+        }
+    }
+
+    /// Updates the state of an endpoint from a reply, or from the lack of one that shows
+    /// that the endpoint can't be reached.
     pub(super) fn update_reachability(
         &mut self,
         now: Instant,
@@ -181,6 +215,11 @@
                 if let Some(clock_ms) = clock {
                     endpoint.read_clock(clock_ms, now);
                 }
+                endpoint.replied_at = Some(now);
+                if endpoint.reachability == Reachability::Doubtful {
+                    endpoint.next_hold = now;
+                    endpoint.reachability = Reachability::Reachable;
+                }
                 if let Reachability::Unreachable(_) = endpoint.reachability {
                     endpoint.next_hold = now;
                     self.events.push(SchedulerEvent::EndpointRegained {
--- a/crates/core/tests/job_support/delivery.rs
+++ b/crates/core/tests/job_support/delivery.rs
@@ -2,23 +2,31 @@
 
 use std::time::Duration;
 
-use rhubarbrill_core::job::JobKey;
 use rhubarbrill_core::job::scheduler::{
     Command, Hold, HoldOutcome, HostState, Maintenance, OrderOutcome, Pace, PolicyAnswer,
     Rejection, Save, SaveOutcome, Start, Stop, WaveState,
 };
+use rhubarbrill_core::job::{JobKey, RunKey};
+use rhubarbrill_core::time::Instant;
 
 use super::endpoint::Link;
 use super::policy::step_name;
 use super::{MOVE_DURATION_MS, Simulation};
 
+/// Time after which the leader gives up a start order without a reply.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Delay of a start order that arrives late.
+const LATE_START_DELAY: Duration = Duration::from_millis(2_000);
+
 impl Simulation {
     pub(super) fn execute(&mut self, command: Command) {
         match command {
             Command::Start(order) => {
-                let outcome = self.deliver_start(&order);
-                self.scheduler
-                    .handle_start_outcome(self.now, order.run, outcome);
+                if let Some(outcome) = self.deliver_start(&order) {
+                    self.scheduler
+                        .handle_start_outcome(self.now, order.run, outcome);
+                }
             }
             Command::Stop(order) => {
                 let outcome = self.deliver_stop(&order);
@@ -26,6 +34,9 @@
                     .handle_stop_outcome(self.now, order.run, outcome);
             }
             Command::Hold(order) => {
+                if self.wait_at_endpoint(&order) {
+                    return;
+                }
                 let outcome = self.deliver_hold(&order);
                 // The reply arrives at the next reading of the clock.
                 self.now = self.now + Duration::from_micros(1);
@@ -122,26 +133,88 @@
         SaveOutcome::Saved(self.revision)
     }
 
-    fn deliver_start(&mut self, order: &Start) -> OrderOutcome {
+    /// Returns the outcome of a start order, or `None` if it isn't known yet.
+    fn deliver_start(&mut self, order: &Start) -> Option<OrderOutcome> {
         let Some(endpoint) = self.endpoints.get_mut(&order.target.id) else {
             self.observed.starts_at_removed_endpoints += 1;
-            return OrderOutcome::Unreachable;
+            return Some(OrderOutcome::Unreachable);
         };
+        endpoint.start_orders += 1;
         match endpoint.link {
-            Link::Unreachable => OrderOutcome::Unreachable,
-            Link::Healthy | Link::StopsPending => self.execute_start(order),
+            Link::Unreachable => Some(OrderOutcome::Unreachable),
+            Link::SomeStartsDelayed(every)
+                if endpoint.start_orders.is_multiple_of(every) =>
+            {
+                let at = self.now + LATE_START_DELAY;
+                endpoint.delayed_starts.push((at, order.clone()));
+                self.observed.delayed_starts += 1;
+                let timeout = self.now + ORDER_TIMEOUT;
+                self.unanswered_starts.push((timeout, order.run));
+                None
+            }
+            Link::Healthy | Link::SomeStartsDelayed(_) | Link::StopsPending => {
+                Some(self.execute_start(order))
+            }
             Link::RepliesLost => {
                 self.execute_start(order);
-                OrderOutcome::Unknown
+                Some(OrderOutcome::Unknown)
             }
             Link::DelayedStarts(delay_ms) => {
                 let at = self.now + Duration::from_millis(delay_ms);
                 endpoint.delayed_starts.push((at, order.clone()));
-                OrderOutcome::Unknown
+                Some(OrderOutcome::Unknown)
             }
         }
     }
 
+    /// Reports the start orders whose timeout is over.
+    pub(super) fn time_out_starts(&mut self) {
+        let now = self.now;
+        let is_due = |&(at, _): &(Instant, RunKey)| at <= now;
+        let (due, remaining) = self.unanswered_starts.drain(..).partition(is_due);
+        self.unanswered_starts = remaining;
+        for (_, run) in due {
+            self.scheduler
+                .handle_start_outcome(now, run, OrderOutcome::Unknown);
+        }
+    }
+
+    /// Keeps a hold at its endpoint until a run ends or its time is over. Returns whether
+    /// it waits.
+    fn wait_at_endpoint(&mut self, order: &Hold) -> bool {
+        let endpoint = self.endpoints.get_mut(&order.target.id);
+        let Some(endpoint) = endpoint.filter(|_| self.holds_wait) else {
+            return false;
+        };
+        let waits = matches!(endpoint.link, Link::SomeStartsDelayed(_))
+            && !order.wait.is_zero()
+            && !endpoint.has_end_after(order.acknowledged);
+        if waits {
+            // The lease is renewed when the order arrives.
+            endpoint.hold(self.now, order);
+            let until = self.now + order.wait;
+            self.waiting_holds.push((until, order.clone()));
+        }
+        waits
+    }
+
+    /// Answers the holds whose time is over or at whose endpoints a run has ended.
+    pub(super) fn answer_waiting_holds(&mut self) {
+        for (until, order) in std::mem::take(&mut self.waiting_holds) {
+            let endpoint = self.endpoints.get(&order.target.id);
+            let has_end = endpoint
+                .is_none_or(|endpoint| endpoint.has_end_after(order.acknowledged));
+            if until > self.now && !has_end {
+                self.waiting_holds.push((until, order));
+                continue;
+            }
+            let outcome = self.deliver_hold(&order);
+            let (endpoint, sent) = (order.endpoint, order.sent);
+            self.scheduler
+                .handle_hold_outcome(self.now, endpoint, sent, outcome);
+        }
+    }
+
     pub(super) fn execute_start(&mut self, order: &Start) -> OrderOutcome {
         let step = &self.records[&order.name.job].spec.steps[order.name.step as usize];
         let task = order.name.to_string();
@@ -187,7 +260,9 @@
                 endpoint.stop(self.now, order);
                 OrderOutcome::Unknown
             }
-            Link::Healthy | Link::DelayedStarts(_) => endpoint.stop(self.now, order),
+            Link::Healthy | Link::DelayedStarts(_) | Link::SomeStartsDelayed(_) => {
+                endpoint.stop(self.now, order)
+            }
         }
     }
 
@@ -214,9 +289,10 @@
                 endpoint.hold(self.now, order);
                 HoldOutcome::NotReported(OrderOutcome::Unknown)
             }
-            Link::Healthy | Link::DelayedStarts(_) | Link::StopsPending => {
-                endpoint.hold(self.now, order)
-            }
+            Link::Healthy
+            | Link::DelayedStarts(_)
+            | Link::SomeStartsDelayed(_)
+            | Link::StopsPending => endpoint.hold(self.now, order),
         }
     }
 }
--- a/crates/core/tests/job_support/endpoint.rs
+++ b/crates/core/tests/job_support/endpoint.rs
@@ -28,6 +28,9 @@
     RepliesLost,
     /// Start orders get no reply and arrive after the given delay, in milliseconds.
     DelayedStarts(u64),
+    /// Every start order of which the number is a multiple of the given one gets no reply
+    /// and arrives late. All other orders are executed.
+    SomeStartsDelayed(usize),
     /// Stop orders get no reply and may still arrive later. Other orders are executed.
     StopsPending,
 }
@@ -70,6 +73,8 @@
     pub active_runs: Vec<SimulatedRun>,
     /// Start orders that are still in flight, each with the time at which it arrives.
     pub delayed_starts: Vec<(Instant, Start)>,
+    /// Number of start orders that were sent here.
+    pub start_orders: usize,
     /// Whether each run fails when its run time is over.
     pub fail_runs: bool,
     /// Reason with which each start order is rejected; `None` if starts are accepted.
@@ -100,6 +105,7 @@
             host,
             active_runs: Vec::new(),
             delayed_starts: Vec::new(),
+            start_orders: 0,
             fail_runs: false,
             start_rejection: None,
             slowdown: 1,
@@ -226,6 +232,11 @@
         })
     }
 
+    /// Returns whether a run has ended since the ends that a hold acknowledges.
+    pub const fn has_end_after(&self, acknowledged: u64) -> bool {
+        self.sequence > acknowledged
+    }
+
     /// Ends the runs whose run time is over or whose lease has expired, and returns the
     /// tasks that completed.
     pub fn advance(&mut self, now: Instant) -> Vec<TaskName> {
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -17,11 +17,12 @@
 use rhubarbrill_core::job::configuration::{Pool, Queue, Workspace};
 use rhubarbrill_core::job::record::Record;
 use rhubarbrill_core::job::scheduler::{
-    Authority, Host, HostState, Options, Scheduler, Term, WaveState,
+    Authority, Hold, Host, HostState, Options, Scheduler, Term, WaveState,
 };
 use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
-    Configuration, Features, Progress, Registration, Resource, State, Step, TaskName,
+    Configuration, Features, Progress, Registration, Resource, RunKey, State, Step,
+    TaskName,
 };
 use rhubarbrill_core::time::{Instant, Timestamp};
 
@@ -63,6 +64,8 @@
     pub longest_above_target: Duration,
     /// Number of start orders sent to endpoints that no longer exist.
     pub starts_at_removed_endpoints: usize,
+    /// Number of start orders that get no reply and arrive late.
+    pub delayed_starts: usize,
     /// Number of writes that failed because the stored revision differed.
     pub conflicts: usize,
     /// Number of hold orders, which renew leases and request a report.
@@ -92,6 +95,12 @@
     pub policy: Option<Policy>,
     /// Number of pace orders that are still to be lost on their way to an endpoint.
     pub pace_orders_to_lose: usize,
+    /// Whether holds wait at endpoints of which some start orders are delayed.
+    pub holds_wait: bool,
+    /// Start orders without a reply, each with the end of its timeout.
+    unanswered_starts: Vec<(Instant, RunKey)>,
+    /// Holds that wait at their endpoints, each with the end of its wait.
+    waiting_holds: Vec<(Instant, Hold)>,
     /// Hosts being moved or maintained: end of the transition, pool, state.
     hosts_in_transition: BTreeMap<String, (Instant, String, HostState)>,
     /// Store revisions of job records, by job identity, and of progress, by `p` and job
@@ -245,6 +254,9 @@
             store_available: true,
             policy: None,
             pace_orders_to_lose: 0,
+            holds_wait: false,
+            unanswered_starts: Vec::new(),
+            waiting_holds: Vec::new(),
             hosts_in_transition: BTreeMap::new(),
             versions: BTreeMap::new(),
             revision: 100,
@@ -464,6 +476,8 @@
         self.now = self.now + TICK;
         self.advance_endpoints();
         self.advance_hosts();
+        self.time_out_starts();
+        self.answer_waiting_holds();
         self.deliver_policy_answers();
         self.expire_registrations();
         let wall_time = self.wall_time();
