Spread the returns of callers that are refused because of the store

Cause: every caller that an entry host refused because of the store was told to return after one second, so that all returned in the same second.

Change: a caller is told 1, 2 or 3 s by the hash of its job's ID, and 1 or 2 s if this entry host has refused the same job within 15 s. At most 4,096 jobs are remembered. Event 700 carries the delay as retry_after_s.

Ruled out: longer delays for callers that were refused before; the oldest jobs would return last.

The effect on served jobs wasn't measured.

Conclusion: kept, without a switch, since it mends a fault.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -12,6 +12,7 @@
 mod live;
 pub mod order_rate;
 pub mod record;
+pub mod refusal;
 mod resource;
 mod run;
 pub mod scheduler;
--- a/crates/dispatch/src/front/request.rs
+++ b/crates/dispatch/src/front/request.rs
@@ -254,6 +254,7 @@
             "workspace" => labels.workspace.to_owned(),
             "status" => status,
             "reason" => answer.reason,
+            "retry_after_s" => answer.retry_after.map_or(0, |delay| delay.as_secs()),
             "latency_ms" => u64::try_from(latency.as_millis()).unwrap_or(u64::MAX),
             "configuration" => version,
             "as_of" => view.as_of(),
--- a/crates/dispatch/src/front/submit.rs
+++ b/crates/dispatch/src/front/submit.rs
@@ -18,9 +18,6 @@
 use crate::view::decode;
 use crate::{clock, key};
 
-/// `Retry-After` of a submission that the store rejected.
-const STORE_RETRY: Duration = Duration::from_secs(1);
-
 /// Age of the last contact above which the store counts as unreachable. The store answers
 /// a watch within one second.
 const STORE_UNREACHABLE_AGE: Duration = Duration::from_millis(1_700);
@@ -87,7 +84,7 @@
     spec: Spec,
 ) -> Answer {
     if node.view.borrow().state(&call.id).is_some() {
-        return to_answer(node, SubmitOutcome::AcceptedBefore);
+        return to_answer(node, &call.id, SubmitOutcome::AcceptedBefore);
     }
     let deadline = clock::now() + call.timeout;
     let (queue, workspace) = (&call.queue, call.workspace.clone());
@@ -102,19 +99,20 @@
     if let SubmitOutcome::Accepted(revision) = outcome {
         node.view.borrow_mut().record_accepted(&call.id, revision);
     }
-    to_answer(node, outcome)
+    to_answer(node, &call.id, outcome)
 }
 
-fn to_answer<P: Platform>(node: &Node<P>, outcome: SubmitOutcome) -> Answer {
+fn to_answer<P: Platform>(node: &Node<P>, id: &str, outcome: SubmitOutcome) -> Answer {
     let refusal = || node.platform.bodies().refusal(outcome.as_str());
     match outcome {
         SubmitOutcome::Accepted(_) | SubmitOutcome::AcceptedBefore => {
             Answer::new(StatusCode::OK, outcome.as_str())
         }
         SubmitOutcome::TurnedAway => {
+            let delay = node.refusals.borrow_mut().refuse(clock::now(), id);
             Answer::new(StatusCode::SERVICE_UNAVAILABLE, outcome.as_str())
                 .with_body(refusal())
-                .with_retry_after(STORE_RETRY)
+                .with_retry_after(delay)
         }
         SubmitOutcome::Unanswered => {
             Answer::new(StatusCode::GATEWAY_TIMEOUT, outcome.as_str())
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -6,6 +6,7 @@
 
 use rhubarbrill_core::contact::Contact;
 use rhubarbrill_core::job::Configuration;
+use rhubarbrill_core::job::refusal::Refusals;
 use rhubarbrill_core::round_trip::RoundTrip;
 use rhubarbrill_core::time::Instant;
 use slog::Logger;
@@ -47,6 +48,8 @@
     pub store_contact: RefCell<Contact>,
     /// Response times of endpoints to orders that they answer at once.
     pub order_round_trip: RefCell<RoundTrip>,
+    /// Jobs that were refused lately because of the store.
+    pub refusals: RefCell<Refusals>,
     /// Local view of the store.
     pub view: RefCell<View>,
     /// Notifies waiting tasks of each change of the view.
@@ -74,6 +77,7 @@
             store_round_trip: RefCell::new(RoundTrip::new(MIN_STORE_TIMEOUT)),
             store_contact: RefCell::default(),
             order_round_trip: RefCell::new(RoundTrip::new(MIN_ORDER_TIMEOUT)),
+            refusals: RefCell::default(),
             view: RefCell::default(),
             changed: Notify::new(),
             stopping,
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -85,12 +85,8 @@
             if state.store_fault == StoreFault::Unavailable {
                 return Some((StatusCode::SERVICE_UNAVAILABLE, Value::Null));
             }
-            if state.store_fault == StoreFault::WatchesSilent {
-                drop(state);
-                tokio::time::sleep(POLL_INTERVAL).await;
-                continue;
-            }
-            if after < state.compact_revision {
+            let is_silent = state.store_fault == StoreFault::WatchesSilent;
+            if !is_silent && after < state.compact_revision {
                 return Some((StatusCode::GONE, Value::Null));
             }
             let events: Vec<Value> = state
@@ -102,7 +98,7 @@
                     None => json!({"key": key, "revision": revision, "deleted": true}),
                 })
                 .collect();
-            if !events.is_empty() || Instant::now() >= deadline {
+            if !is_silent && (!events.is_empty() || Instant::now() >= deadline) {
                 let body = json!({"events": events, "as-of": state.revision});
                 return Some((StatusCode::OK, body));
             }
