--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -7,13 +7,17 @@
 pub mod configuration;
 mod endpoint;
 mod feature;
+pub mod host_order;
 pub mod leader;
 mod live;
+pub mod order_rate;
 pub mod record;
+pub mod refusal;
 mod resource;
 mod run;
 pub mod scheduler;
 pub mod spec;
+pub mod watch_progress;
 
 pub use configuration::Configuration;
 pub use endpoint::{Endpoint, EndpointKey, Registration, Target};
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rhubarbrill_core::job::host_order::HostOrder;
 use rhubarbrill_core::job::scheduler::{
     Authority, Command, HoldOutcome, Host, Maintenance, OrderOutcome, Pace, PolicyAnswer,
     PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress, WaveState,
@@ -12,15 +13,15 @@
 use rhubarbrill_core::time::Instant;
 use rhubarbrill_event::Event;
 use slog::o;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio_util::sync::CancellationToken;
 
 use super::election::Leadership;
-use super::hosts::Order;
 use super::orders::notify;
 use super::recovery::RecoveredState;
 use super::takeover::{self, LeaderState};
-use super::{hosts, notes, orders, save};
+use super::{hosts, notes, orders, save, stall};
 use crate::node::Node;
 use crate::platform::{Changes, HostOrderOutcome, Platform, Section, Store};
 use crate::view::{Delta, Pending};
@@ -78,7 +79,9 @@
     pub(super) node: Rc<Node<P>>,
     pub(super) leadership: Leadership,
     pub(super) message_sender: UnboundedSender<Message>,
-    pub(super) host_orders: UnboundedSender<Order>,
+    pub(super) host_orders: UnboundedSender<HostOrder>,
+    /// Notifies the tasks that watch the leader's sections to list them now.
+    pub(super) relist: Notify,
 }
 
 /// Leads until the leadership ends or the process is asked to stop.
@@ -93,6 +96,7 @@
         leadership,
         message_sender,
         host_orders,
+        relist: Notify::new(),
     });
     let done = CancellationToken::new();
     let renewal = tokio::task::spawn_local(renew(Rc::clone(&shared), done.clone()));
@@ -127,6 +131,7 @@
             &shared.node,
             section,
             sync::LEADER_WATCH_PAUSE,
+            &shared.relist,
             move |changes| {
                 notify(shared, Message::SectionChanged(section, changes));
             },
@@ -181,6 +186,7 @@
         if leader.scheduler.is_deposed() || shared.leadership.validity.is_over() {
             return;
         }
+        stall::check(shared, &mut leader.watch_progress);
         let authority = shared.leadership.validity.authority();
         log_authority_change(shared, &mut last_authority, authority);
         decide(shared, &mut leader, authority);
@@ -294,6 +300,7 @@
             scheduler.handle_policy_answer(now, &question, ruling);
         }
         Message::Saved(saves, ending) => {
+            stall::record_write(&mut leader.watch_progress, &saves, &ending);
             scheduler.handle_save_outcome(now, &saves, &ending);
         }
         Message::Removed(ids, done) => scheduler.handle_removal_outcome(&ids, done),
@@ -333,8 +340,8 @@
         Command::Pace(order) => orders::pace(shared, order),
         Command::Save(saves) => save::save_progress(shared, saves),
         Command::Remove(ids) => save::remove_finished(shared, ids),
-        Command::Move(order) => hosts::enqueue(shared, Order::Move(order)),
-        Command::Maintain(order) => hosts::enqueue(shared, Order::Maintain(order)),
+        Command::Move(order) => hosts::enqueue(shared, HostOrder::Move(order)),
+        Command::Maintain(order) => hosts::enqueue(shared, HostOrder::Maintain(order)),
         Command::ReportWave(wave, state) => {
             let done = scheduler.wave_progress(clock::now(), wave.number);
             save::report_wave(shared, wave, state, done);
