Evacuate availability zones at the request of operators

Cause: operators had no way to keep work out of a zone other than by waves over its hosts.

Ruled out: cordoning the zone's endpoints as waves do. Waves recompute cordons for hosts that the platform lists; an endpoint that no list names yet would stay open. Waiting in a takeover until the watch of the operators' keys has passed the start of the term: an idle watch answers after a second, which every change of leader would cost.

Change: core::job::scheduler::evacuation keeps the requested zones, closes their endpoints, takes back starts that weren't sent or have no answer, and stops long-running tasks of each step one after the other within max_unavailable. Hosts of the zone stay in their pools and don't count as capacity. A new leader lists op/evacuate/ itself, beside its other reads, before its first decision. The leader publishes the progress under rhubarbrill/shared/evacuation/ZONE. Events 620 to 626.

--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -126,6 +126,8 @@
     pub(super) consecutive_failures: u32,
     /// Whether new runs are kept away because its host is to be moved or maintained.
     pub(super) cordoned: bool,
+    /// Whether its zone is being evacuated.
+    pub(super) evacuated: bool,
     /// When the last run ended or, before the first run, when the endpoint was added.
     pub(super) idle_since: Instant,
 }
@@ -161,6 +163,7 @@
             no_placement_until: now,
             consecutive_failures: 0,
             cordoned: false,
+            evacuated: false,
             idle_since: now,
         }
     }
@@ -247,6 +250,7 @@
             && self.reachability == Reachability::Reachable
             && !self.registration.draining
             && !self.cordoned
+            && !self.evacuated
             && self.unlisted_since.is_none()
             && now >= self.no_placement_until
     }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -21,6 +21,7 @@
 
 mod balance;
 mod capacity;
+mod evacuation;
 mod event;
 mod finish;
 mod forecast;
@@ -45,6 +46,7 @@
 mod vacate;
 mod wave;
 
+pub use evacuation::{EvacuationProgress, EvacuationReport};
 pub use event::SchedulerEvent;
 pub use hosts::{Host, HostState, Move};
 pub use outcome::{ActiveRun, EndedRun, HoldOutcome, OrderOutcome, Rejection, RunReport};
@@ -203,6 +205,8 @@
     Stop(Stop),
     /// Begin the maintenance of a host.
     Maintain(Maintenance),
+    /// Write the progress of an evacuation to the store, or remove it.
+    ReportEvacuation(EvacuationReport),
     /// Write the state of a maintenance wave to the store.
     ReportWave(Wave, WaveState),
 }
@@ -232,6 +236,7 @@
     deposed: bool,
     hosts: hosts::Hosts,
     waves: wave::Waves,
+    evacuations: evacuation::Evacuations,
     arrivals: forecast::Arrivals,
     pace_control: pace::PaceControl,
     permissions: permission::Permissions,
@@ -263,6 +268,7 @@
             deposed: false,
             hosts: hosts::Hosts::default(),
             waves: wave::Waves::default(),
+            evacuations: evacuation::Evacuations::default(),
             arrivals: forecast::Arrivals::default(),
             pace_control: pace::PaceControl::default(),
             permissions: permission::Permissions::default(),
@@ -328,6 +334,7 @@
         self.update_cordons();
         self.remove_finished(now, &mut commands);
         self.schedule_waves(now, &mut commands);
+        self.advance_evacuations(now, &mut commands);
         self.resize_pools(now, &mut commands);
         commands
     }
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -33,7 +33,7 @@
     Serving,
     /// The host is about to join.
     Joining,
-    /// The host has failed, is leaving or is in maintenance.
+    /// The host has failed, is leaving, is in maintenance or in an evacuated zone.
     Unavailable,
 }
 
@@ -112,6 +112,9 @@
 
     /// Returns whether the pool of a host can use it.
     fn availability(&self, host: &Host) -> Availability {
+        if self.is_zone_evacuated(&host.zone) {
+            return Availability::Unavailable;
+        }
         if self.hosts.move_orders.contains_key(&host.name)
             || host.state == HostState::Moving
         {
@@ -208,9 +211,9 @@
                 && self.hosts.accepts_orders(now, &host.name)
                 && !self.is_awaiting_maintenance(&host.name)
         });
-        let cut_off = self.cut_off_zones();
+        let unusable = self.unusable_zones();
         hosts
-            .filter(|host| !cut_off.contains(&host.zone.as_str()))
+            .filter(|host| !unusable.contains(host.zone.as_str()))
             .filter_map(|host| {
                 let Some(balance) = balances.get(&host.pool) else {
                     return Some((0, host));
@@ -263,6 +266,7 @@
             .values()
             .filter(|host| {
                 host.state == HostState::Up
+                    && !self.is_zone_evacuated(&host.zone)
                     && self.hosts.accepts_orders(now, &host.name)
                     && self.is_host_idle(now, host, MIN_IDLE_TIME)
             })
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -1,5 +1,8 @@
 //! Events of the scheduler, for the log.
 
+use std::time::Duration;
+
+use super::EvacuationProgress;
 use crate::job::{Resource, RunEnd, TaskName};
 
 /// A scheduling decision, or a change in the leader's view of runs and endpoints.
@@ -121,6 +124,35 @@
         /// Lost work, in core-milliseconds.
         lost: u64,
     },
+    /// Operators want a zone to be evacuated, and nothing starts there from now on.
+    ZoneEvacuating {
+        /// Name of the zone.
+        zone: String,
+        /// What is left in the zone.
+        progress: EvacuationProgress,
+    },
+    /// No task is left in a zone that is being evacuated.
+    ZoneEvacuated {
+        /// Name of the zone.
+        zone: String,
+        /// Time since this leader learned of the request.
+        age: Duration,
+    },
+    /// The request to evacuate a zone was withdrawn.
+    ZoneReturned {
+        /// Name of the zone.
+        zone: String,
+    },
+    /// A zone that operators want to be evacuated has no endpoint and no host.
+    ZoneUnknown {
+        /// Name of the zone.
+        zone: String,
+    },
+    /// Every zone is being evacuated, so that nothing can start.
+    EveryZoneEvacuated {
+        /// Number of zones that have an endpoint or a host.
+        zones: usize,
+    },
     /// A host is moved to another pool.
     HostMoves {
         /// Name of the host.
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -55,6 +55,7 @@
                 let endpoint = &mut self.endpoints[key];
                 endpoint.registration = registration;
                 endpoint.unregistered_since = None;
+                self.update_evacuated(key);
                 return;
             }
             if let Some(sent) = self.endpoints[key].hold_sent_at {
@@ -73,6 +74,7 @@
         endpoint.no_placement_until = endpoint.no_placement_until.max(usable_from);
         let key = self.endpoints.insert(endpoint);
         self.endpoints_by_id.insert(id, key);
+        self.update_evacuated(key);
     }
 
     /// Records that the registration of an endpoint is gone: the endpoint has left or is
--- a/crates/core/src/job/scheduler/vacate.rs
+++ b/crates/core/src/job/scheduler/vacate.rs
@@ -59,7 +59,7 @@
     /// Returns the hosts that may be vacated, those that are vacated already and those
     /// with the least work first, with their pools and capacities.
     fn vacation_candidates(&self, now: Instant) -> Vec<(String, String, Resource)> {
-        let cut_off = self.cut_off_zones();
+        let unusable = self.unusable_zones();
         let mut candidates: Vec<(bool, u64, &Host)> = self
             .hosts
             .list
@@ -68,7 +68,7 @@
                 host.state == HostState::Up
                     && self.hosts.accepts_orders(now, &host.name)
                     && !self.is_awaiting_maintenance(&host.name)
-                    && !cut_off.contains(&host.zone.as_str())
+                    && !unusable.contains(host.zone.as_str())
             })
             .filter_map(|host| {
                 let key = self.endpoint_of(&host.name)?;
--- a/crates/core/tests/job_support/delivery.rs
+++ b/crates/core/tests/job_support/delivery.rs
@@ -16,6 +16,9 @@
     pub(super) fn execute(&mut self, command: Command) {
         match command {
             Command::Start(order) => {
+                self.observed
+                    .resumed_from
+                    .insert(order.name.to_string(), order.checkpoint.clone());
                 let outcome = self.deliver_start(&order);
                 self.scheduler
                     .handle_start_outcome(self.now, order.run, outcome);
@@ -83,6 +86,11 @@
                 self.take_down(&host, &pool, HostState::Maintained, 2_000);
                 self.scheduler.maintenance_begun(self.now, &host, wave);
             }
+            Command::ReportEvacuation(report) => {
+                self.scheduler
+                    .handle_evacuation_report_outcome(&report, self.store_available);
+                self.observed.evacuations.push((self.now, report));
+            }
             Command::ReportWave(wave, state) => {
                 self.observed.waves.push((wave.number, state));
                 if state == WaveState::Completed {
--- a/crates/core/tests/job_support/endpoint.rs
+++ b/crates/core/tests/job_support/endpoint.rs
@@ -81,6 +81,8 @@
     /// Amount that each best-effort task at full speed adds to the tail latency of the
     /// other tasks, in milliseconds.
     pub interference_ms: u64,
+    /// Checkpoint that each run reports.
+    pub checkpoint: String,
     ended_runs: Vec<EndedRun>,
     sequence: u64,
     highest_fencing_token: u64,
@@ -105,6 +107,7 @@
             slowdown: 1,
             run_time_percent: 100,
             interference_ms: 0,
+            checkpoint: String::new(),
             ended_runs: Vec::new(),
             sequence: 0,
             highest_fencing_token: 0,
@@ -214,7 +217,7 @@
         let active_run = |run: &SimulatedRun| ActiveRun {
             name: run.name.clone(),
             number: run.number,
-            checkpoint: String::new(),
+            checkpoint: self.checkpoint.clone(),
             percent: run.percent(now),
             gauge: if run.target_ms > 0 { tail } else { 0 },
         };
@@ -307,7 +310,7 @@
             name: run.name.clone(),
             number: run.number,
             outcome,
-            checkpoint: String::new(),
+            checkpoint: self.checkpoint.clone(),
         });
     }
 }
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -17,7 +17,7 @@
 use rhubarbrill_core::job::configuration::{Pool, Queue, Workspace};
 use rhubarbrill_core::job::record::Record;
 use rhubarbrill_core::job::scheduler::{
-    Authority, Host, HostState, Options, Scheduler, Term, WaveState,
+    Authority, EvacuationReport, Host, HostState, Options, Scheduler, Term, WaveState,
 };
 use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
@@ -55,6 +55,10 @@
     pub maintained: Vec<(Instant, String)>,
     /// Reported states of maintenance waves: wave number, state.
     pub waves: Vec<(u64, WaveState)>,
+    /// Reports on the evacuation of zones, in order.
+    pub evacuations: Vec<(Instant, EvacuationReport)>,
+    /// Last checkpoint that a start order carried, by task.
+    pub resumed_from: BTreeMap<String, String>,
     /// Number of start orders that endpoints rejected.
     pub rejections: usize,
     /// Number of orders to change the pace of a run.
@@ -90,6 +94,8 @@
     pub store_available: bool,
     /// Placement policy that must allow each start; `None` if there is none.
     pub policy: Option<Policy>,
+    /// Zones that operators want to be evacuated.
+    evacuated_zones: BTreeSet<String>,
     /// Number of pace orders that are still to be lost on their way to an endpoint.
     pub pace_orders_to_lose: usize,
     /// Hosts being moved or maintained: end of the transition, pool, state.
@@ -239,6 +245,7 @@
             authority: Authority::Certain,
             store_available: true,
             policy: None,
+            evacuated_zones: BTreeSet::new(),
             pace_orders_to_lose: 0,
             hosts_in_transition: BTreeMap::new(),
             versions: BTreeMap::new(),
@@ -311,6 +318,13 @@
         self.endpoints.insert(id, endpoint);
     }
 
+    /// Requests the evacuation of these zones, and withdraws it for all others.
+    pub fn evacuate(&mut self, zones: &[&str]) {
+        self.evacuated_zones = zones.iter().map(|&zone| zone.to_owned()).collect();
+        self.scheduler
+            .set_evacuated_zones(self.now, &self.evacuated_zones);
+    }
+
     /// Passes the current list of hosts to the scheduler.
     pub fn list_hosts(&mut self) {
         let hosts = self.hosts.values().cloned().collect();
@@ -375,6 +389,8 @@
         let options = options(self.features);
         self.scheduler = Scheduler::new(options, self.term, self.now);
         self.scheduler.set_configuration(self.configuration.clone());
+        self.scheduler
+            .set_evacuated_zones(self.now, &self.evacuated_zones);
         for endpoint in self.endpoints.values() {
             if !(registrations_expired && endpoint.link == Link::Unreachable) {
                 self.scheduler
--- a/crates/dispatch/src/key.rs
+++ b/crates/dispatch/src/key.rs
@@ -43,6 +43,8 @@
     Job(String),
     /// Progress of a job that hasn't finished, by job ID.
     Progress(String),
+    /// Progress of the evacuation of a zone, by its name.
+    Evacuation(String),
     /// Hosts that recently received orders.
     Orders,
     /// Hosts of a wave whose maintenance has begun, by wave number.
@@ -74,6 +76,11 @@
     format!("{KEPT_PREFIX}wave/{number}")
 }
 
+/// Returns the key of the progress of an evacuation.
+pub fn evacuation(zone: &str) -> String {
+    format!("{SHARED_PREFIX}evacuation/{zone}")
+}
+
 /// Parses a key. Returns `None` if it is not a key of a record that Rhubarbrill writes.
 pub fn parse(key: &str) -> Option<Key> {
     if let Some(id) = key.strip_prefix(JOBS_PREFIX) {
@@ -86,6 +93,7 @@
             None if rest == "pending" => Some(Key::Pending),
             Some(("state", id)) => Some(Key::State(id.to_owned())),
             Some(("cancel", id)) => Some(Key::Cancellation(id.to_owned())),
+            Some(("evacuation", zone)) => Some(Key::Evacuation(zone.to_owned())),
             _ => None,
         };
     }
--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -3,6 +3,7 @@
 
 mod authority;
 mod election;
+mod evacuation;
 mod hosts;
 mod notes;
 mod orders;
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -112,6 +112,28 @@
             let fields = o!("job" => job, "runs" => runs, "lost_core_ms" => lost);
             event::log(out, Event::RunsPreempted, fields);
         }
+        SchedulerEvent::ZoneEvacuating { zone, progress } => {
+            let fields = o!(
+                "zone" => zone,
+                "tasks" => progress.tasks,
+                "long_running" => progress.long_running,
+            );
+            event::log(out, Event::ZoneEvacuating, fields);
+        }
+        SchedulerEvent::ZoneEvacuated { zone, age } => {
+            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            let fields = o!("zone" => zone, "age_ms" => age_ms);
+            event::log(out, Event::ZoneEvacuated, fields);
+        }
+        SchedulerEvent::ZoneReturned { zone } => {
+            event::log(out, Event::ZoneReturned, o!("zone" => zone));
+        }
+        SchedulerEvent::ZoneUnknown { zone } => {
+            event::log(out, Event::ZoneUnknown, o!("zone" => zone));
+        }
+        SchedulerEvent::EveryZoneEvacuated { zones } => {
+            event::log(out, Event::EveryZoneEvacuated, o!("zones" => zones));
+        }
         SchedulerEvent::HostMoves {
             host,
             from,
--- a/crates/dispatch/src/lead/registrations.rs
+++ b/crates/dispatch/src/lead/registrations.rs
@@ -53,7 +53,12 @@
                 }
             }
             None => self.remove_endpoint(scheduler, &change.key),
-            Some(Content::Configuration(_) | Content::Foreign | Content::Wave(_)) => {}
+            Some(
+                Content::Configuration(_)
+                | Content::Evacuation(_)
+                | Content::Foreign
+                | Content::Wave(_),
+            ) => {}
         }
     }
 
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
-    Save, SaveOutcome, Wave, WaveProgress, WaveState,
+    EvacuationReport, Save, SaveOutcome, Wave, WaveProgress, WaveState,
 };
 use rhubarbrill_event::Event;
 use serde::Serialize;
@@ -14,6 +14,7 @@
 use super::orders::notify;
 use super::recovery::{OrdersRecord, WaveRecord};
 use super::term::{Message, Shared};
+use crate::evacuation::EvacuationRecord;
 use crate::platform::{CommitOutcome, Condition, Item, Platform, Transaction, Write};
 use crate::view::Pending;
 use crate::{event, key};
@@ -143,6 +144,39 @@
     });
 }
 
+/// Publishes the progress of an evacuation for operators, or removes it.
+pub(super) fn report_evacuation<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    report: EvacuationReport,
+) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let key = key::evacuation(&report.zone);
+        let mut transaction = Transaction {
+            conditions: vec![leader_condition(&shared)],
+            ..Transaction::default()
+        };
+        match report.progress.map(EvacuationRecord::from) {
+            Some(record) => transaction
+                .writes
+                .extend(record_write(&shared, key, &record)),
+            None => transaction.removals.push(key),
+        }
+        let committed = shared.node.commit(&transaction).await;
+        let written = matches!(committed, Ok(CommitOutcome::Done(_)));
+        let progress = report.progress.unwrap_or_default();
+        let fields = o!(
+            "zone" => report.zone.clone(),
+            "tasks" => progress.tasks,
+            "long_running" => progress.long_running,
+            "removed" => report.progress.is_none(),
+            "written" => written,
+        );
+        event::log(&shared.node.log, Event::EvacuationReported, fields);
+        notify(&shared, Message::EvacuationReported(report, written));
+    });
+}
+
 /// Records for which hosts of a wave maintenance has begun.
 pub(super) fn record_wave<P: Platform>(
     shared: &Rc<Shared<P>>,
--- a/crates/dispatch/src/lead/takeover.rs
+++ b/crates/dispatch/src/lead/takeover.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::authority::HOLD_GRACE;
+use super::evacuation;
 use super::recovery::RecoveredState;
 use super::registrations::Registrations;
 use super::term::{Message, Shared};
@@ -67,7 +68,11 @@
 pub(super) async fn catch_up<P: Platform>(shared: &Shared<P>) -> Option<RecoveredState> {
     let is_over =
         || shared.leadership.validity.is_over() || shared.node.stopping.is_cancelled();
-    let recovered = RecoveredState::read(&shared.node, is_over).await?;
+    let (recovered, listed) = tokio::join!(
+        RecoveredState::read(&shared.node, is_over),
+        evacuation::read_ahead(&shared.node, is_over),
+    );
+    let (recovered, ()) = (recovered?, listed?);
     while !is_over() {
         if shared.node.view.borrow().as_of() >= shared.leadership.term.start_revision {
             return Some(recovered);
@@ -153,6 +158,7 @@
     for id in view.finished() {
         scheduler.add_finished_job(now, id);
     }
+    evacuation::restore(&mut scheduler, &view.evacuations, now);
     for (number, wave) in &view.waves {
         match recovered.waves.get(number) {
             Some(record) if record.completed => scheduler.complete_wave(*number),
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
-    Authority, Command, HoldOutcome, Host, Maintenance, OrderOutcome, Pace, PolicyAnswer,
-    PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress, WaveState,
+    Authority, Command, EvacuationReport, HoldOutcome, Host, Maintenance, OrderOutcome,
+    Pace, PolicyAnswer, PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress,
+    WaveState,
 };
 use rhubarbrill_core::job::{EndpointKey, RunKey};
 use rhubarbrill_core::time::Instant;
@@ -68,6 +69,8 @@
     Moved(String, HostOrderOutcome),
     /// The outcome of an order to begin maintenance.
     Maintained(Maintenance, HostOrderOutcome),
+    /// Whether the progress of an evacuation was written.
+    EvacuationReported(EvacuationReport, bool),
     /// Whether the state of a wave was written.
     WaveReported(Wave, WaveState, bool),
 }
@@ -251,6 +254,10 @@
                     scheduler.add_wave(clock::now(), wave.clone(), progress);
                 }
             }
+            Delta::Evacuations => {
+                let zones = view.evacuations.zones();
+                scheduler.set_evacuated_zones(clock::now(), &zones);
+            }
             Delta::Leader => {
                 let fence = shared.leadership.term.fencing_token;
                 if view
@@ -316,6 +323,9 @@
             }
             HostOrderOutcome::Unknown => {}
         },
+        Message::EvacuationReported(report, written) => {
+            scheduler.handle_evacuation_report_outcome(&report, written);
+        }
         Message::WaveReported(wave, state, written) => {
             if written && state == WaveState::Completed {
                 scheduler.complete_wave(wave.number);
@@ -335,6 +345,7 @@
         Command::Remove(ids) => save::remove_finished(shared, ids),
         Command::Move(order) => hosts::enqueue(shared, Order::Move(order)),
         Command::Maintain(order) => hosts::enqueue(shared, Order::Maintain(order)),
+        Command::ReportEvacuation(report) => save::report_evacuation(shared, report),
         Command::ReportWave(wave, state) => {
             let done = scheduler.wave_progress(clock::now(), wave.number);
             save::report_wave(shared, wave, state, done);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`platform`].
 
 pub mod clock;
+mod evacuation;
 mod event;
 mod front;
 mod key;
--- a/crates/dispatch/src/platform.rs
+++ b/crates/dispatch/src/platform.rs
@@ -60,7 +60,9 @@
 /// A range of the store's keys that is listed and watched separately.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Section {
-    /// Keys that operators write: the configuration and maintenance waves.
+    /// The part of the operators' keys that requests evacuations of zones.
+    Evacuations,
+    /// Keys that operators write: the configuration, maintenance waves and evacuations.
     Operators,
     /// Registrations of endpoints.
     Registrations,
@@ -72,6 +74,7 @@
     /// Returns the name used in logs.
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::Evacuations => "evacuations",
             Self::Operators => "operators",
             Self::Registrations => "registrations",
             Self::Records(prefix) => prefix,
@@ -79,6 +82,15 @@
     }
 }
 
+/// A request of operators to evacuate a zone.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Evacuation {
+    /// Name of the zone.
+    pub zone: String,
+    /// What is wrong with the value of the item. The request holds nevertheless.
+    pub mistake: Option<String>,
+}
+
 /// The decoded content of an item in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Content {
@@ -86,6 +98,8 @@
     Configuration(Box<Configuration>),
     /// The registration of an endpoint.
     Endpoint(Box<Registration>),
+    /// A zone that operators want to be evacuated.
+    Evacuation(Evacuation),
     /// A maintenance wave that operators requested.
     Wave(Wave),
     /// The encoded value of a record that Rhubarbrill itself writes.
--- a/crates/dispatch/src/sync.rs
+++ b/crates/dispatch/src/sync.rs
@@ -229,6 +229,12 @@
             let fields = o!("leader" => name.unwrap_or_default(), "revision" => revision);
             event::log(&node.log, Event::LeaderSeen, fields);
         }
+        Delta::Evacuations => {
+            let zones: Vec<String> =
+                node.view.borrow().evacuations.zones().into_iter().collect();
+            let fields = o!("zones" => zones.join(","));
+            event::log(&node.log, Event::EvacuationsSeen, fields);
+        }
         Delta::Unreadable { key, reason } => log_unreadable(node, key, reason),
         Delta::Wave(wave) => {
             event::log(&node.log, Event::WaveSeen, o!("wave" => *wave));
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -1,6 +1,6 @@
 //! The local view of the store, which every process keeps up to date with watches.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
 use rhubarbrill_core::job::leader::Leader;
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::evacuation::Evacuations;
 use crate::key::{self, Key};
 use crate::platform::{Change, Changes, Content, Section};
 
@@ -47,6 +48,8 @@
     Cancelled(String),
     /// The wave with this number was requested or changed.
     Wave(u64),
+    /// The set of zones that operators want to be evacuated has changed.
+    Evacuations,
     /// The leader's record was written or removed.
     Leader,
     /// An item can't be decoded.
@@ -78,6 +81,8 @@
     pub pending: Pending,
     /// Requested waves, by wave number.
     pub waves: BTreeMap<u64, Wave>,
+    /// Zones that operators want to be evacuated.
+    pub evacuations: Evacuations,
     operators: SectionProgress,
     shared: SectionProgress,
     states: HashMap<String, State>,
@@ -99,6 +104,12 @@
         self.shared.as_of
     }
 
+    /// Adds evacuated zones that were listed at the store revision `as_of`.
+    pub fn read_evacuations_ahead(&mut self, zones: BTreeSet<String>, as_of: u64) {
+        self.evacuations
+            .read_ahead(zones, as_of, self.operators.as_of);
+    }
+
     /// Returns the state of a job as it is shown to callers, if it is known.
     pub fn state(&self, id: &str) -> Option<State> {
         let state = self.states.get(id).copied();
@@ -141,7 +152,7 @@
         changes: Changes,
     ) -> Vec<Delta> {
         let progress = match section {
-            Section::Operators => &mut self.operators,
+            Section::Evacuations | Section::Operators => &mut self.operators,
             Section::Records(_) | Section::Registrations => &mut self.shared,
         };
         progress.as_of = progress.as_of.max(changes.as_of);
@@ -150,6 +161,9 @@
         for change in changes.changes {
             self.apply_change(change, &mut deltas);
         }
+        if self.evacuations.reached(self.operators.as_of) {
+            deltas.push(Delta::Evacuations);
+        }
         deltas
     }
 
@@ -175,6 +189,13 @@
                     deltas.push(Delta::Configuration);
                 }
             }
+            Some(Content::Evacuation(evacuation)) => {
+                self.evacuations.insert(&key, &evacuation.zone);
+                deltas.push(Delta::Evacuations);
+                if let Some(reason) = evacuation.mistake {
+                    deltas.push(Delta::Unreadable { key, reason });
+                }
+            }
             Some(Content::Wave(wave)) => {
                 deltas.push(Delta::Wave(wave.number));
                 self.waves.insert(wave.number, wave);
@@ -188,6 +209,9 @@
     }
 
     fn remove(&mut self, key: &str, deltas: &mut Vec<Delta>) {
+        if self.evacuations.remove(key) {
+            deltas.push(Delta::Evacuations);
+        }
         match key::parse(key) {
             Some(Key::Leader) => {
                 self.leader = None;
@@ -200,6 +224,7 @@
             Some(Key::Cancellation(id)) => {
                 self.cancelled.remove(&id);
             }
+            Some(Key::Evacuation(zone)) => self.evacuations.remove_report(&zone),
             Some(
                 Key::Job(_)
                 | Key::Orders
@@ -249,6 +274,7 @@
                 self.cancelled.insert(id.clone());
                 deltas.push(Delta::Cancelled(id));
             }
+            Key::Evacuation(zone) => self.evacuations.add_report(zone),
             Key::Job(_) | Key::Orders | Key::Progress(_) | Key::Wave(_) => {}
         }
         None
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -168,6 +168,27 @@
     WaveReported = 610, Info,
         "The state of a maintenance wave was written to the store for operators.",
         "Nothing.";
+    EvacuationsSeen = 620, Info,
+        "Operators' requests to evacuate zones were read from the store.",
+        "Nothing.";
+    ZoneEvacuating = 621, Info,
+        "The leader starts nothing more in a zone that operators evacuate.",
+        "Wait for event 622; `rhubarbrill zone status` shows what is left.";
+    ZoneEvacuated = 622, Info,
+        "No task is left in a zone that operators evacuate.",
+        "Nothing.";
+    ZoneReturned = 623, Info,
+        "The request to evacuate a zone was withdrawn; the zone is used again.",
+        "Nothing.";
+    ZoneUnknown = 624, Warning,
+        "A zone that operators evacuate has no endpoint and no host.",
+        "Check the zone's name; withdraw the request if it is wrong.";
+    EveryZoneEvacuated = 625, Warning,
+        "Every zone is being evacuated, so nothing starts and jobs wait.",
+        "Withdraw the request for a zone that may be used.";
+    EvacuationReported = 626, Info,
+        "The progress of an evacuation was written to the store for operators, or removed.",
+        "Nothing.";
     RequestAnswered = 700, Info,
         "A response to a caller's request was sent.", "Nothing.";
     JobUnreadable = 701, Warning,
