--- a/crates/standin/src/users.rs
+++ b/crates/standin/src/users.rs
@@ -118,6 +118,16 @@
     /// Starts an endpoint whose runs take `run_time` each, registers it in the store and
     /// returns its id.
     pub fn add_endpoint(&mut self, pool: &str, run_time: Duration) -> String {
+        self.add_endpoint_in("z", pool, run_time)
+    }
+
+    /// Like [`add_endpoint`](Self::add_endpoint), with the endpoint in the given zone.
+    pub fn add_endpoint_in(
+        &mut self,
+        zone: &str,
+        pool: &str,
+        run_time: Duration,
+    ) -> String {
         let id = format!("i-{}", self.endpoints.len());
         let own_id = id.clone();
         let server = http::start(self.shared.clone(), move |shared, call| {
@@ -127,7 +137,7 @@
         let address = server.address();
         self.endpoints.push(server);
         let mut state = self.shared.lock();
-        state.add_endpoint(&id, pool, address, run_time);
+        state.add_endpoint(&id, zone, pool, address, run_time);
         drop(state);
         id
     }
@@ -199,6 +209,11 @@
         self.shared.lock().put(key, value, 0);
     }
 
+    /// Removes a key from the store, as the operator does.
+    pub fn remove(&self, key: &str) {
+        self.shared.lock().remove(key);
+    }
+
     /// Sets the fault that the store injects.
     pub fn set_store_fault(&self, store_fault: StoreFault) {
         self.shared.lock().store_fault = store_fault;
--- a/crates/standin/src/users/hosts.rs
+++ b/crates/standin/src/users/hosts.rs
@@ -32,7 +32,7 @@
             let is_running = endpoint.pool != STANDBY;
             json!({
                 "machine": format!("m-{id}"), "pool": endpoint.pool, "state": "up",
-                "zone": "z", "labels": ["a", "r1-1"], "id": is_running.then_some(id),
+                "zone": endpoint.zone, "labels": ["a", "r1-1"], "id": is_running.then_some(id),
                 "capacity": {"cpu": 32_000, "mem-mb": 131_072, "gpu": 0},
             })
         })
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -27,6 +27,8 @@
     Unavailable,
     /// Transactions are applied, but receive no response.
     WritesUnanswered,
+    /// Watches of the operators' keys receive no response.
+    OperatorWatchesSilent,
     /// Every request is delayed by this many milliseconds.
     Delayed(u64),
 }
@@ -69,6 +71,7 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct Endpoint {
+    pub(crate) zone: String,
     pub(crate) pool: String,
     pub(crate) address: SocketAddr,
     pub(crate) clock: Clock,
@@ -229,11 +232,13 @@
     pub(crate) fn add_endpoint(
         &mut self,
         id: &str,
+        zone: &str,
         pool: &str,
         address: SocketAddr,
         run_time: Duration,
     ) {
         let endpoint = Endpoint {
+            zone: zone.to_owned(),
             pool: pool.to_owned(),
             address,
             clock: Clock {
@@ -260,7 +265,7 @@
         };
         let entry = json!({
             "service": endpoint.pool, "address": endpoint.address.to_string(),
-            "zone": "z", "version": "v1", "slots": 8, "state": "ready",
+            "zone": endpoint.zone, "version": "v1", "slots": 8, "state": "ready",
             "cold-remaining-ms": 0, "labels": ["a", "r1-1"],
             "capacity": {"cpu": 32_000, "mem-mb": 131_072, "gpu": 0},
             "clock-ms": endpoint.clock.now_ms(), "seq": 1, "born": endpoint.born,
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -85,6 +85,9 @@
             if state.store_fault == StoreFault::Unavailable {
                 return Some((StatusCode::SERVICE_UNAVAILABLE, Value::Null));
             }
+            if state.store_fault == StoreFault::OperatorWatchesSilent && prefix == "op/" {
+                return None;
+            }
             if after < state.compact_revision {
                 return Some((StatusCode::GONE, Value::Null));
             }
