--- a/crates/dispatch/src/evacuation.rs
+++ b/crates/dispatch/src/evacuation.rs
@@ -5,6 +5,8 @@
 use rhubarbrill_core::job::scheduler::EvacuationProgress;
 use serde::{Deserialize, Serialize};
 
+use crate::key;
+
 /// State of an evacuation, as reported to operators.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -15,6 +17,16 @@
     Evacuated,
 }
 
+impl EvacuationState {
+    /// Returns the name used in records and output.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Evacuating => "evacuating",
+            Self::Evacuated => "evacuated",
+        }
+    }
+}
+
 /// The record of the progress of an evacuation.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EvacuationRecord {
@@ -41,6 +53,11 @@
     }
 }
 
+/// Returns the store key of the progress of an evacuation.
+pub fn report_key(zone: &str) -> String {
+    key::evacuation(zone)
+}
+
 /// The zones that operators want to be evacuated.
 #[derive(Debug, Default)]
 pub struct Evacuations {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`platform`].
 
 pub mod clock;
-mod evacuation;
+pub mod evacuation;
 mod event;
 mod front;
 mod key;
--- a/crates/rhubarbrill/src/args.rs
+++ b/crates/rhubarbrill/src/args.rs
@@ -1,5 +1,6 @@
 //! Subcommands and options of the command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -28,6 +29,7 @@
     Questionnaire(Questionnaire),
     Status(Status),
     Wave(Wave),
+    Zone(Zone),
 }
 
 /// Validates declarations and prints every mistake; doesn't use the store.
@@ -205,6 +207,77 @@
     pub json: bool,
 }
 
+/// Evacuates an availability zone of the users' platform, or returns it to use.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "zone")]
+pub struct Zone {
+    #[argh(subcommand)]
+    pub command: ZoneCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum ZoneCommand {
+    Evacuate(ZoneEvacuate),
+    Return(ZoneReturn),
+    Status(ZoneStatus),
+}
+
+/// Requests the evacuation of a zone: nothing more starts there, and long-running tasks
+/// move elsewhere.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "evacuate")]
+pub struct ZoneEvacuate {
+    /// name of the zone
+    #[argh(positional)]
+    pub zone: String,
+    /// address of the platform's store, such as 10.0.0.1:2379
+    #[argh(option)]
+    pub store: SocketAddr,
+    /// wait until no task is left in the zone
+    #[argh(switch)]
+    pub wait: bool,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Withdraws the request to evacuate a zone, which is then used again at once.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "return")]
+pub struct ZoneReturn {
+    /// name of the zone
+    #[argh(positional)]
+    pub zone: String,
+    /// address of the platform's store, such as 10.0.0.1:2379
+    #[argh(option)]
+    pub store: SocketAddr,
+    /// wait until the leader uses the zone again
+    #[argh(switch)]
+    pub wait: bool,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Prints whether a zone is being evacuated, and what is left there.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct ZoneStatus {
+    /// name of the zone
+    #[argh(positional)]
+    pub zone: String,
+    /// address of the platform's store, such as 10.0.0.1:2379
+    #[argh(option)]
+    pub store: SocketAddr,
+    /// wait until the zone is evacuated or, without a request, used again
+    #[argh(switch)]
+    pub wait: bool,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Explains an event number that occurs in the logs, or lists all events.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "events")]
@@ -236,6 +309,11 @@
                 WaveCommand::Pause(pause) => pause.json,
                 WaveCommand::Resume(resume) => resume.json,
             },
+            Command::Zone(zone) => match &zone.command {
+                ZoneCommand::Evacuate(evacuate) => evacuate.json,
+                ZoneCommand::Return(returning) => returning.json,
+                ZoneCommand::Status(status) => status.json,
+            },
         }
     }
 }
--- a/crates/rhubarbrill/src/command.rs
+++ b/crates/rhubarbrill/src/command.rs
@@ -9,6 +9,7 @@
 mod questionnaire;
 mod status;
 mod wave;
+mod zone;
 
 use std::path::{Path, PathBuf};
 
@@ -34,6 +35,7 @@
         Command::Questionnaire(questionnaire) => questionnaire::run(&questionnaire),
         Command::Status(_) => status::run(&settings()?),
         Command::Wave(wave) => wave::run(&settings()?, &wave.command),
+        Command::Zone(zone) => zone::run(&zone.command),
     }
 }
 
--- a/crates/rhubarbrill/src/output.rs
+++ b/crates/rhubarbrill/src/output.rs
@@ -3,6 +3,7 @@
 use std::fmt::Display;
 
 use eyre::Report;
+use rhubarbrill_dispatch::platform::Failure;
 use rhubarbrill_edge::store::{self, Effect};
 use rhubarbrill_registry::configuration;
 use serde::Serialize;
@@ -92,6 +93,9 @@
             Exit::Failed
         };
     }
+    if report.is::<Failure>() {
+        return Exit::Unknown;
+    }
     match report.downcast_ref::<configuration::Error>() {
         Some(error) if error.is_store() || error.is_stale() => Exit::Unknown,
         _ => Exit::Failed,
