Send few tasks to cold endpoints, and tell callers when every zone is evacuated

Cause: an endpoint that is slow after its start got as many tasks as any other. With every zone evacuated callers saw queued jobs and no reason. Ruled out: limits from the service's cold-start-s and the start time of an endpoint; a new leader would take every endpoint of unknown age for cold. A reason in the answer to a submission; that has no body. Change: core::job::scheduler::cold (half of the capacity, after warm endpoints, limited starts a second), cold-remaining-ms of registrations, cold-start-s and cold-per-s of services, bounds.cold-overrun and bounds.cold-slack of settings, event 627; field no_zone of the pending record, field reason of the answers to queries of states and of pending counts. Conclusion: nothing changes where no registration says that its endpoint is cold.

--- a/crates/core/src/job/configuration.rs
+++ b/crates/core/src/job/configuration.rs
@@ -61,12 +61,18 @@
 }
 
 /// A pool of hosts that serve the same queues.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Pool {
     /// Unique name of the pool.
     pub name: String,
     /// Whether the pool holds hosts that are switched off and cost nothing.
     pub standby: bool,
+    /// Longest time for which its endpoints are cold after their start; 0 if the
+    /// registrations alone tell.
+    pub cold_start: Duration,
+    /// Starts a second that one of its endpoints can handle while it is cold; `None` if
+    /// that isn't known.
+    pub cold_starts_per_s: Option<u64>,
 }
 
 /// A workspace, which owns jobs and is subject to a rate and a resource limit.
--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -45,6 +45,8 @@
     pub capacity: Resource,
     /// Whether it is about to shut down and accepts no new runs.
     pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub cold_remaining: Duration,
     /// Reading of its monotonic clock when the entry was written, in milliseconds.
     pub clock_ms: u64,
 }
@@ -126,6 +128,8 @@
     pub(super) consecutive_failures: u32,
     /// Whether new runs are kept away because its host is to be moved or maintained.
     pub(super) cordoned: bool,
+    /// When it stops being slow after its start.
+    pub(super) cold_until: Instant,
     /// Whether its zone is being evacuated.
     pub(super) evacuated: bool,
     /// When the last run ended or, before the first run, when the endpoint was added.
@@ -163,6 +167,7 @@
             no_placement_until: now,
             consecutive_failures: 0,
             cordoned: false,
+            cold_until: now,
             evacuated: false,
             idle_since: now,
         }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -21,6 +21,7 @@
 
 mod balance;
 mod capacity;
+mod cold;
 mod evacuation;
 mod event;
 mod finish;
@@ -46,6 +47,7 @@
 mod vacate;
 mod wave;
 
+pub use cold::ColdLimits;
 pub use evacuation::{EvacuationProgress, EvacuationReport};
 pub use event::SchedulerEvent;
 pub use hosts::{Host, HostState, Move};
@@ -64,6 +66,8 @@
     pub inherited_bound: Duration,
     /// Time for which finished jobs are kept.
     pub retention: Duration,
+    /// Limits on the starts that a cold endpoint receives.
+    pub cold: ColdLimits,
     /// Features that the deployment's settings switch on.
     pub features: Features,
 }
@@ -237,6 +241,7 @@
     hosts: hosts::Hosts,
     waves: wave::Waves,
     evacuations: evacuation::Evacuations,
+    recent_starts: cold::RecentStarts,
     arrivals: forecast::Arrivals,
     pace_control: pace::PaceControl,
     permissions: permission::Permissions,
@@ -269,6 +274,7 @@
             hosts: hosts::Hosts::default(),
             waves: wave::Waves::default(),
             evacuations: evacuation::Evacuations::default(),
+            recent_starts: cold::RecentStarts::default(),
             arrivals: forecast::Arrivals::default(),
             pace_control: pace::PaceControl::default(),
             permissions: permission::Permissions::default(),
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -90,6 +90,13 @@
         /// Start time of the incarnation, in milliseconds since the Unix epoch.
         born: u64,
     },
+    /// An endpoint is slow after its start.
+    EndpointCold {
+        /// Identity of the endpoint.
+        endpoint: String,
+        /// How much longer it is slow.
+        remaining: Duration,
+    },
     /// An endpoint was removed or no longer answers.
     EndpointLost {
         /// Identity of the endpoint.
--- a/crates/core/src/job/scheduler/inherit.rs
+++ b/crates/core/src/job/scheduler/inherit.rs
@@ -4,6 +4,8 @@
 //! that may be executing, and where. Until an endpoint has reported, or the longest lease
 //! has expired, its tasks count as running. All other tasks may start immediately.
 
+use std::time::Duration;
+
 use super::Scheduler;
 use crate::job::endpoint::Endpoint;
 use crate::job::record::AssignedRun;
@@ -83,6 +85,7 @@
             labels: Vec::new(),
             capacity: Resource::default(),
             draining: false,
+            cold_remaining: Duration::ZERO,
             clock_ms: 0,
         };
         let mut endpoint = Endpoint::new(registration, now);
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -56,6 +56,7 @@
                 endpoint.registration = registration;
                 endpoint.unregistered_since = None;
                 self.update_evacuated(key);
+                self.update_cold(now, key);
                 return;
             }
             if let Some(sent) = self.endpoints[key].hold_sent_at {
@@ -75,6 +76,7 @@
         let key = self.endpoints.insert(endpoint);
         self.endpoints_by_id.insert(id, key);
         self.update_evacuated(key);
+        self.update_cold(now, key);
     }
 
     /// Records that the registration of an endpoint is gone: the endpoint has left or is
@@ -107,6 +109,7 @@
             self.release(now, run, reason);
         }
         self.pace_control.forget(key);
+        self.recent_starts.forget(key);
         let Some(endpoint) = self.endpoints.remove(key) else {
             return;
         };
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -36,6 +36,7 @@
     pub(super) fn place(&mut self, now: Instant) {
         let mut open_pools = self.open_pools(now);
         self.unplaced.clear();
+        self.update_cold_limits(now);
         for (rank, key) in self.ranked_jobs(now) {
             self.place_job(now, key, rank, &mut open_pools);
         }
@@ -250,8 +251,8 @@
 
     /// Returns the best endpoint for a task, or `None` if it fits nowhere.
     ///
-    /// Endpoints on which the task hasn't failed come first, then those near its data,
-    /// then, for long-running tasks, those with the most long-running runs, and then
+    /// Endpoints on which the task hasn't failed come first, then those that aren't cold,
+    /// then those near its data, then, for long-running tasks, those with the most long-running runs, and then
     /// those with the least free capacity.
     fn choose_endpoint(
         &self,
@@ -276,6 +277,7 @@
                     .iter()
                     .any(|&run| self.runs[run].endpoint == key);
                 reserved.fits(&endpoint.used, &endpoint.registration.capacity)
+                    && self.is_warm_enough(now, key, &reserved)
                     && !already_runs_there
                     && self.is_suitable(now, task, key)
             })
@@ -291,6 +293,7 @@
                 };
                 (
                     avoid.contains(&key),
+                    self.cold_penalty(now, key, task),
                     remote,
                     Reverse(long_running_count),
                     free,
@@ -431,6 +434,8 @@
             run.phase = Phase::Starting;
             run.sent_at = now;
             endpoint.lease_bound = endpoint.lease_bound.max(bound);
+            let pool = &endpoint.registration.pool;
+            self.recent_starts.record(now, pool, run.endpoint);
             let task_state = job.task(task);
             commands.push(Command::Start(Start {
                 run: key,
--- a/crates/core/src/job/scheduler/preempt.rs
+++ b/crates/core/src/job/scheduler/preempt.rs
@@ -83,7 +83,7 @@
         let reserved = self.step(task).reserved();
         let best = endpoints
             .iter()
-            .filter(|&&key| self.is_suitable(now, task, key))
+            .filter(|&&key| self.is_suitable(now, task, key) && !self.is_cold(now, key))
             .filter_map(|&key| {
                 let (lost, runs) =
                     self.victims_on(now, priority, key, &reserved, victims)?;
--- a/crates/core/tests/job_evacuation.rs
+++ b/crates/core/tests/job_evacuation.rs
@@ -263,3 +263,18 @@
     assert_eq!(removal.len(), 1);
     assert_eq!(removal[0].1.progress, None);
 }
+
+/// The request was withdrawn while there was no leader. The fault would be a report that
+/// stays for ever.
+#[test]
+fn report_of_an_earlier_leader_is_removed_with_the_request() {
+    let mut simulation = simulation(3);
+    simulation.scheduler.restore_evacuation_report("z0");
+    simulation.store_available = false;
+    simulation.run_for(SECOND);
+    simulation.store_available = true;
+    simulation.run_for(3 * SECOND);
+    let reports = simulation.observed.evacuations.iter();
+    let removals = reports.filter(|(_, report)| report.progress.is_none());
+    assert_eq!(removals.count(), 2, "the first write failed");
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -17,7 +17,8 @@
 use rhubarbrill_core::job::configuration::{Pool, Queue, Workspace};
 use rhubarbrill_core::job::record::Record;
 use rhubarbrill_core::job::scheduler::{
-    Authority, EvacuationReport, Host, HostState, Options, Scheduler, Term, WaveState,
+    Authority, ColdLimits, EvacuationReport, Host, HostState, Options, Scheduler, Term,
+    WaveState,
 };
 use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
@@ -94,6 +95,8 @@
     pub store_available: bool,
     /// Placement policy that must allow each start; `None` if there is none.
     pub policy: Option<Policy>,
+    /// For how long endpoints that are started from now on are cold.
+    pub cold_remaining: Duration,
     /// Zones that operators want to be evacuated.
     evacuated_zones: BTreeSet<String>,
     /// Number of pace orders that are still to be lost on their way to an endpoint.
@@ -120,6 +123,10 @@
         lease_term: Duration::from_millis(5_000),
         inherited_bound: Duration::from_millis(9_425),
         retention: Duration::from_secs(150),
+        cold: ColdLimits {
+            overrun_permille: 1_500,
+            slack: 5,
+        },
         features,
     }
 }
@@ -146,6 +153,7 @@
     configuration.pools.push(Pool {
         name: "spare".to_owned(),
         standby: true,
+        ..Pool::default()
     });
     configuration
 }
@@ -174,6 +182,7 @@
     let pool = |name: &str| Pool {
         name: name.to_owned(),
         standby: false,
+        ..Pool::default()
     };
     Configuration {
         version: 1,
@@ -245,6 +254,7 @@
             authority: Authority::Certain,
             store_available: true,
             policy: None,
+            cold_remaining: Duration::ZERO,
             evacuated_zones: BTreeSet::new(),
             pace_orders_to_lose: 0,
             hosts_in_transition: BTreeMap::new(),
@@ -308,6 +318,7 @@
             ],
             capacity: CAPACITY,
             draining: false,
+            cold_remaining: self.cold_remaining,
             clock_ms: 0,
         };
         if let Some(host) = self.hosts.get_mut(host) {
--- a/crates/dispatch/src/front/request.rs
+++ b/crates/dispatch/src/front/request.rs
@@ -205,14 +205,24 @@
     }
 
     fn state_answer(&self, state: State) -> Answer {
-        let body = self.node.platform.bodies().state(state);
+        let reason = self.wait_reason().filter(|_| state == State::Queued);
+        let body = self.node.platform.bodies().state(state, reason);
         Answer::new(StatusCode::OK, "state returned").with_body(body)
     }
 
+    /// Returns why no job starts, if that is the case.
+    fn wait_reason(&self) -> Option<&'static str> {
+        let view = self.node.view.borrow();
+        view.pending
+            .no_zone
+            .then_some("every zone is being evacuated")
+    }
+
     fn pending(&self, call: &Call) -> Answer {
+        let reason = self.wait_reason();
         let queues = &self.node.view.borrow().pending.queues;
         let waiting = queues.get(&call.queue.name).copied().unwrap_or(0);
-        let body = self.node.platform.bodies().pending(waiting);
+        let body = self.node.platform.bodies().pending(waiting, reason);
         Answer::new(StatusCode::OK, "pending count returned").with_body(body)
     }
 
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -134,6 +134,14 @@
         SchedulerEvent::EveryZoneEvacuated { zones } => {
             event::log(out, Event::EveryZoneEvacuated, o!("zones" => zones));
         }
+        SchedulerEvent::EndpointCold {
+            endpoint,
+            remaining,
+        } => {
+            let cold_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+            let fields = o!("endpoint" => endpoint, "cold_ms" => cold_ms);
+            event::log(out, Event::EndpointCold, fields);
+        }
         SchedulerEvent::HostMoves {
             host,
             from,
--- a/crates/dispatch/src/lead/takeover.rs
+++ b/crates/dispatch/src/lead/takeover.rs
@@ -143,6 +143,7 @@
             + lease_term.mul_f64(CLOCK_DRIFT_FACTOR)
             + LEASE_MARGIN,
         retention: settings.retention.mul_f64(RETENTION_FACTOR),
+        cold: settings.cold,
         features: settings.features,
     };
     let mut scheduler = Scheduler::new(options, shared.leadership.term, now);
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -210,6 +210,7 @@
         leader.next_pending = now + PENDING_INTERVAL;
         let pending = Pending {
             queues: scheduler.pending(),
+            no_zone: scheduler.is_every_zone_evacuated(),
         };
         if leader.pending.as_ref() != Some(&pending) {
             leader.pending = Some(pending.clone());
--- a/crates/dispatch/src/platform.rs
+++ b/crates/dispatch/src/platform.rs
@@ -371,10 +371,11 @@
     ///
     /// Returns a description of the problem, which is shown to the caller.
     fn job(&self, body: &[u8]) -> Result<Spec, String>;
-    /// Encodes the state of a job.
-    fn state(&self, state: State) -> Vec<u8>;
-    /// Encodes the number of jobs of a queue that haven't started.
-    fn pending(&self, count: usize) -> Vec<u8>;
+    /// Encodes the state of a job, and why it waits if that is known.
+    fn state(&self, state: State, reason: Option<&'static str>) -> Vec<u8>;
+    /// Encodes the number of jobs of a queue that haven't started, and why they wait if
+    /// that is known.
+    fn pending(&self, count: usize, reason: Option<&'static str>) -> Vec<u8>;
     /// Encodes the reason why a request was refused.
     fn refusal(&self, reason: &str) -> Vec<u8>;
     /// Returns the media type of all bodies.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::Features;
+use rhubarbrill_core::job::scheduler::ColdLimits;
 
 /// Settings of one entry host.
 #[derive(Clone, Debug)]
@@ -30,6 +31,8 @@
     pub retention: Duration,
     /// CPU share that the process may use, in cores.
     pub cpu: f64,
+    /// Limits on the starts that a cold endpoint receives.
+    pub cold: ColdLimits,
     /// Features that are switched on.
     pub features: Features,
 }
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -26,6 +26,9 @@
 pub struct Pending {
     /// Number of accepted jobs without a started task, by queue name.
     pub queues: BTreeMap<String, usize>,
+    /// Whether nothing starts because every zone is being evacuated.
+    #[serde(default)]
+    pub no_zone: bool,
 }
 
 /// A value with the store revision of its last change.
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -189,6 +189,9 @@
     EvacuationReported = 626, Info,
         "The progress of an evacuation was written to the store for operators, or removed.",
         "Nothing.";
+    EndpointCold = 627, Info,
+        "An endpoint is slow after its start and receives few tasks until it is warm.",
+        "Nothing.";
     RequestAnswered = 700, Info,
         "A response to a caller's request was sent.", "Nothing.";
     JobUnreadable = 701, Warning,
--- a/crates/measure/src/job.rs
+++ b/crates/measure/src/job.rs
@@ -7,8 +7,8 @@
 use argh::FromArgs;
 use rhubarbrill_core::job::configuration::{Configuration, Pool, Queue};
 use rhubarbrill_core::job::scheduler::{
-    ActiveRun, Authority, Command, Hold, HoldOutcome, Host, HostState, Options,
-    OrderOutcome, RunReport, SaveOutcome, Scheduler, Start, Term,
+    ActiveRun, Authority, ColdLimits, Command, Hold, HoldOutcome, Host, HostState,
+    Options, OrderOutcome, RunReport, SaveOutcome, Scheduler, Start, Term,
 };
 use rhubarbrill_core::job::{
     EndpointKey, Features, Record, Registration, Resource, Spec, Step,
@@ -100,6 +100,10 @@
             lease_term: Duration::from_secs(5),
             inherited_bound: Duration::from_secs(10),
             retention: Duration::from_secs(150),
+            cold: ColdLimits {
+                overrun_permille: 1_500,
+                slack: 5,
+            },
             features: Features::NONE,
         };
         let term = Term {
@@ -307,6 +311,7 @@
         labels: vec!["kind".to_owned(), "rack".to_owned()],
         capacity: host.capacity,
         draining: false,
+        cold_remaining: Duration::ZERO,
         clock_ms: 0,
     }
 }
@@ -332,7 +337,7 @@
         pools: (0..POOLS)
             .map(|number| Pool {
                 name: name(number),
-                standby: false,
+                ..Pool::default()
             })
             .collect(),
         ..Configuration::default()
--- a/crates/rhubarbrilld/tests/evacuation.rs
+++ b/crates/rhubarbrilld/tests/evacuation.rs
@@ -133,6 +133,30 @@
     assert!(last.is_some_and(|at| at > killed_at + 2 * MAX_START_DELAY));
 }
 
+/// With every zone evacuated, callers learn why their jobs wait. Jobs continue once a zone
+/// is returned.
+#[test]
+fn callers_are_told_that_no_zone_is_left() {
+    let deployment = deploy();
+    let entry = &deployment.entries[0];
+    for zone in ["z0", "z1", "z2"] {
+        deployment
+            .users
+            .put(&format!("op/evacuate/{zone}"), &json!({}));
+    }
+    let reason = json!("every zone is being evacuated");
+    let pending = || entry.call("GET", "", "k", &Value::Null).body;
+    wait_until("the reason is shown", || pending()["reason"] == reason);
+    let job = json!({"spec": "s", "steps": [{"count": 1, "cpu": 500, "mem-mb": 100}]});
+    let answer = entry.call("POST", &job_id(JOBS), "k", &job);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let state = entry.call("GET", &job_id(JOBS), "k", &Value::Null);
+    assert_eq!(state.body, json!({"state": "queued", "reason": reason}));
+    deployment.users.remove("op/evacuate/z1");
+    wait_until("the reason is gone", || pending()["reason"].is_null());
+    deployment.wait_until_completed();
+}
+
 /// The whole course for an operator: the zone is left within the bound, a damaged value
 /// doesn't matter, the progress is reported, and after the return the zone is used again.
 #[rstest]
