--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -48,6 +48,8 @@
     pub capacity: Resource,
     /// Whether it is about to shut down and accepts no new runs.
     pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub cold_remaining: Duration,
     /// Reading of its monotonic clock when the entry was written, in milliseconds.
     pub clock_ms: u64,
 }
@@ -148,6 +150,10 @@
     pub(super) consecutive_failures: u32,
     /// Whether new runs are kept away because its host is to be moved or maintained.
     pub(super) cordoned: bool,
+    /// When it stops being slow after its start.
+    pub(super) cold_until: Instant,
+    /// Whether its zone is being evacuated.
+    pub(super) evacuated: bool,
     /// When the last run ended or, before the first run, when the endpoint was added.
     pub(super) idle_since: Instant,
 }
@@ -185,6 +191,8 @@
             no_placement_until: now,
             consecutive_failures: 0,
             cordoned: false,
+            cold_until: now,
+            evacuated: false,
             idle_since: now,
         }
     }
@@ -293,6 +301,7 @@
             && self.reachability == Reachability::Reachable
             && !self.registration.draining
             && !self.cordoned
+            && !self.evacuated
             && self.unlisted_since.is_none()
             && now >= self.no_placement_until
     }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -21,6 +21,8 @@
 
 mod balance;
 mod capacity;
+mod cold;
+mod evacuation;
 mod event;
 mod finish;
 mod fleet;
@@ -46,6 +48,8 @@
 mod vacate;
 mod wave;
 
+pub use cold::ColdLimits;
+pub use evacuation::{EvacuationProgress, EvacuationReport};
 pub use event::SchedulerEvent;
 pub use hosts::{Host, HostState, Move};
 pub use outcome::{ActiveRun, EndedRun, HoldOutcome, OrderOutcome, Rejection, RunReport};
@@ -63,6 +67,8 @@
     pub inherited_bound: Duration,
     /// Time for which finished jobs are kept.
     pub retention: Duration,
+    /// Limits on the starts that a cold endpoint receives.
+    pub cold: ColdLimits,
     /// Features that the deployment's settings switch on.
     pub features: Features,
     /// Number of orders for hosts that the platform accepts in a second; `None` if there
@@ -207,6 +213,8 @@
     Stop(Stop),
     /// Begin the maintenance of a host.
     Maintain(Maintenance),
+    /// Write the progress of an evacuation to the store, or remove it.
+    ReportEvacuation(EvacuationReport),
     /// Write the state of a maintenance wave to the store.
     ReportWave(Wave, WaveState),
 }
@@ -236,6 +244,8 @@
     deposed: bool,
     hosts: hosts::Hosts,
     waves: wave::Waves,
+    evacuations: evacuation::Evacuations,
+    recent_starts: cold::RecentStarts,
     arrivals: forecast::Arrivals,
     pace_control: pace::PaceControl,
     permissions: permission::Permissions,
@@ -267,6 +277,8 @@
             deposed: false,
             hosts: hosts::Hosts::new(options.host_orders_per_second),
             waves: wave::Waves::default(),
+            evacuations: evacuation::Evacuations::default(),
+            recent_starts: cold::RecentStarts::default(),
             arrivals: forecast::Arrivals::default(),
             pace_control: pace::PaceControl::default(),
             permissions: permission::Permissions::default(),
@@ -332,6 +344,7 @@
         self.update_cordons();
         self.remove_finished(now, &mut commands);
         self.schedule_waves(now, &mut commands);
+        self.advance_evacuations(now, &mut commands);
         self.resize_pools(now, &mut commands);
         commands
     }
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -55,6 +55,8 @@
                 let endpoint = &mut self.endpoints[key];
                 endpoint.registration = registration;
                 endpoint.unregistered_since = None;
+                self.update_evacuated(key);
+                self.update_cold(now, key);
                 return;
             }
             if let Some(sent) = self.endpoints[key].hold_sent_at {
@@ -73,6 +75,8 @@
         endpoint.no_placement_until = endpoint.no_placement_until.max(usable_from);
         let key = self.endpoints.insert(endpoint);
         self.endpoints_by_id.insert(id, key);
+        self.update_evacuated(key);
+        self.update_cold(now, key);
     }
 
     /// Records that the registration of an endpoint is gone: the endpoint has left or is
@@ -105,6 +109,7 @@
             self.release(now, run, reason);
         }
         self.pace_control.forget(key);
+        self.recent_starts.forget(key);
         let Some(endpoint) = self.endpoints.remove(key) else {
             return;
         };
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -17,7 +17,8 @@
 use rhubarbrill_core::job::configuration::{Pool, Queue, Workspace};
 use rhubarbrill_core::job::record::Record;
 use rhubarbrill_core::job::scheduler::{
-    Authority, Hold, Host, HostState, Options, Scheduler, Term, WaveState,
+    Authority, ColdLimits, EvacuationReport, Hold, Host, HostState, Options, Scheduler,
+    Term, WaveState,
 };
 use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
@@ -56,6 +57,10 @@
     pub maintained: Vec<(Instant, String)>,
     /// Reported states of maintenance waves: wave number, state.
     pub waves: Vec<(u64, WaveState)>,
+    /// Reports on the evacuation of zones, in order.
+    pub evacuations: Vec<(Instant, EvacuationReport)>,
+    /// Last checkpoint that a start order carried, by task.
+    pub resumed_from: BTreeMap<String, String>,
     /// Number of start orders that endpoints rejected.
     pub rejections: usize,
     /// Number of orders to change the pace of a run.
@@ -93,6 +98,10 @@
     pub store_available: bool,
     /// Placement policy that must allow each start; `None` if there is none.
     pub policy: Option<Policy>,
+    /// For how long endpoints that are started from now on are cold.
+    pub cold_remaining: Duration,
+    /// Zones that operators want to be evacuated.
+    evacuated_zones: BTreeSet<String>,
     /// Number of pace orders that are still to be lost on their way to an endpoint.
     pub pace_orders_to_lose: usize,
     /// Whether holds wait at endpoints of which some start orders are delayed.
@@ -123,6 +132,10 @@
         lease_term: Duration::from_millis(5_000),
         inherited_bound: Duration::from_millis(9_425),
         retention: Duration::from_secs(150),
+        cold: ColdLimits {
+            overrun_permille: 1_500,
+            slack: 5,
+        },
         features,
         host_orders_per_second: None,
     }
@@ -150,6 +163,7 @@
     configuration.pools.push(Pool {
         name: "spare".to_owned(),
         standby: true,
+        ..Pool::default()
     });
     configuration
 }
@@ -178,6 +192,7 @@
     let pool = |name: &str| Pool {
         name: name.to_owned(),
         standby: false,
+        ..Pool::default()
     };
     Configuration {
         version: 1,
@@ -253,6 +268,8 @@
             authority: Authority::Certain,
             store_available: true,
             policy: None,
+            cold_remaining: Duration::ZERO,
+            evacuated_zones: BTreeSet::new(),
             pace_orders_to_lose: 0,
             holds_wait: false,
             unanswered_starts: Vec::new(),
@@ -318,6 +335,7 @@
             ],
             capacity: CAPACITY,
             draining: false,
+            cold_remaining: self.cold_remaining,
             clock_ms: 0,
         };
         if let Some(host) = self.hosts.get_mut(host) {
@@ -328,6 +346,13 @@
         self.endpoints.insert(id, endpoint);
     }
 
+    /// Requests the evacuation of these zones, and withdraws it for all others.
+    pub fn evacuate(&mut self, zones: &[&str]) {
+        self.evacuated_zones = zones.iter().map(|&zone| zone.to_owned()).collect();
+        self.scheduler
+            .set_evacuated_zones(self.now, &self.evacuated_zones);
+    }
+
     /// Passes the current list of hosts to the scheduler.
     pub fn list_hosts(&mut self) {
         let hosts = self.hosts.values().cloned().collect();
@@ -391,6 +416,8 @@
         };
         self.scheduler = Scheduler::new(self.options, self.term, self.now);
         self.scheduler.set_configuration(self.configuration.clone());
+        self.scheduler
+            .set_evacuated_zones(self.now, &self.evacuated_zones);
         for endpoint in self.endpoints.values() {
             if !(registrations_expired && endpoint.link == Link::Unreachable) {
                 self.scheduler
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -6,8 +6,9 @@
 
 use rhubarbrill_core::job::host_order::HostOrder;
 use rhubarbrill_core::job::scheduler::{
-    Authority, Command, HoldOutcome, Host, Maintenance, OrderOutcome, Pace, PolicyAnswer,
-    PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress, WaveState,
+    Authority, Command, EvacuationReport, HoldOutcome, Host, Maintenance, OrderOutcome,
+    Pace, PolicyAnswer, PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress,
+    WaveState,
 };
 use rhubarbrill_core::job::{EndpointKey, RunKey};
 use rhubarbrill_core::time::Instant;
@@ -69,6 +70,8 @@
     Moved(String, HostOrderOutcome),
     /// The outcome of an order to begin maintenance.
     Maintained(Maintenance, HostOrderOutcome),
+    /// Whether the progress of an evacuation was written.
+    EvacuationReported(EvacuationReport, bool),
     /// Whether the state of a wave was written.
     WaveReported(Wave, WaveState, bool),
 }
@@ -213,6 +216,7 @@
         leader.next_pending = now + PENDING_INTERVAL;
         let pending = Pending {
             queues: scheduler.pending(),
+            no_zone: scheduler.is_every_zone_evacuated(),
         };
         if leader.pending.as_ref() != Some(&pending) {
             leader.pending = Some(pending.clone());
@@ -257,6 +261,10 @@
                     scheduler.add_wave(clock::now(), wave.clone(), progress);
                 }
             }
+            Delta::Evacuations => {
+                let zones = view.evacuations.zones();
+                scheduler.set_evacuated_zones(clock::now(), &zones);
+            }
             Delta::Leader => {
                 let fence = shared.leadership.term.fencing_token;
                 if view
@@ -323,6 +331,9 @@
             }
             HostOrderOutcome::Unknown => {}
         },
+        Message::EvacuationReported(report, written) => {
+            scheduler.handle_evacuation_report_outcome(&report, written);
+        }
         Message::WaveReported(wave, state, written) => {
             if written && state == WaveState::Completed {
                 scheduler.complete_wave(wave.number);
@@ -342,6 +353,7 @@
         Command::Remove(ids) => save::remove_finished(shared, ids),
         Command::Move(order) => hosts::enqueue(shared, HostOrder::Move(order)),
         Command::Maintain(order) => hosts::enqueue(shared, HostOrder::Maintain(order)),
+        Command::ReportEvacuation(report) => save::report_evacuation(shared, report),
         Command::ReportWave(wave, state) => {
             let done = scheduler.wave_progress(clock::now(), wave.number);
             save::report_wave(shared, wave, state, done);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`platform`].
 
 pub mod clock;
+pub mod evacuation;
 mod event;
 mod front;
 mod key;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::Features;
+use rhubarbrill_core::job::scheduler::ColdLimits;
 
 /// Settings of one entry host.
 #[derive(Clone, Debug)]
@@ -33,6 +34,8 @@
     /// Number of orders for hosts that the platform accepts in a second; `None` if there
     /// is no limit.
     pub host_orders_per_second: Option<u32>,
+    /// Limits on the starts that a cold endpoint receives.
+    pub cold: ColdLimits,
     /// Features that are switched on.
     pub features: Features,
 }
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -29,6 +29,8 @@
     WritesUnanswered,
     /// Watches receive nothing.
     WatchesSilent,
+    /// Watches of the operators' keys receive no response.
+    OperatorWatchesSilent,
     /// Every request is delayed by this many milliseconds.
     Delayed(u64),
 }
@@ -71,6 +73,7 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct Endpoint {
+    pub(crate) zone: String,
     pub(crate) pool: String,
     pub(crate) address: SocketAddr,
     pub(crate) clock: Clock,
@@ -231,11 +234,13 @@
     pub(crate) fn add_endpoint(
         &mut self,
         id: &str,
+        zone: &str,
         pool: &str,
         address: SocketAddr,
         run_time: Duration,
     ) {
         let endpoint = Endpoint {
+            zone: zone.to_owned(),
             pool: pool.to_owned(),
             address,
             clock: Clock {
@@ -262,7 +267,7 @@
         };
         let entry = json!({
             "service": endpoint.pool, "address": endpoint.address.to_string(),
-            "zone": "z", "version": "v1", "slots": 8, "state": "ready",
+            "zone": endpoint.zone, "version": "v1", "slots": 8, "state": "ready",
             "cold-remaining-ms": 0, "labels": ["a", "r1-1"],
             "capacity": {"cpu": 32_000, "mem-mb": 131_072, "gpu": 0},
             "clock-ms": endpoint.clock.now_ms(), "seq": 1, "born": endpoint.born,
