Learn run times by queue and correct callers' estimates by them

Cause: latest starts and the demand of arrivals follow callers' estimates, and those of one kind of job may be off by a factor of 1.9. Jobs then begin too late to end in time and take capacity of others.

Ruled out: the moving average of straggler.rs, which has no quantile, doesn't age and counts slow endpoints; the uncapped quantile, by which a job with a factor of 1.9 is late on arrival, as its deadline follows from its estimate.

Events 730 and 731. Switch run-time-estimates; off, nothing is recorded.

--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -5,7 +5,7 @@
 
 use super::configuration::Queue;
 use super::record::{self, AssignedEndpoint, Progress};
-use super::{EndpointKey, Record, RunKey, State};
+use super::{EndpointKey, Record, RunKey, State, Step};
 use crate::time::{Instant, Timestamp};
 
 slotmap::new_key_type! {
@@ -157,6 +157,10 @@
     pub(super) attempts: u32,
     /// Time after the due time of an occurrence at which it becomes late.
     pub(super) late_after: Duration,
+    /// Longest expected run time of tasks that latest starts allow for, in percent of the
+    /// estimates. The deadline follows from the estimates, so by longer run times a job
+    /// would be late on arrival. Half of its slack stays for waiting.
+    pub(super) max_run_time_percent: u64,
 }
 
 /// A job in progress.
@@ -169,6 +173,9 @@
     /// Whether the job exceeded its workspace's submission rate on arrival.
     pub(super) over_submission_rate: bool,
     pub(super) parameters: QueueParameters,
+    /// Run time of the job's tasks that latest starts allow for, in percent of the
+    /// estimates.
+    pub(super) run_time_percent: u64,
     pub(super) state: State,
     /// Number of the first occurrence that isn't complete.
     pub(super) first_open: u32,
@@ -207,6 +214,7 @@
             arrived_at,
             over_submission_rate: false,
             parameters,
+            run_time_percent: 100,
             state: progress.state,
             first_open: progress.first_open,
             next_occurrence: progress.first_open,
@@ -283,6 +291,12 @@
         self.first_open >= self.occurrence_count()
     }
 
+    /// Returns the run time of a task of a step that latest starts allow for, in
+    /// milliseconds.
+    pub(super) const fn expected_run_time_ms(&self, step: &Step) -> u64 {
+        step.estimate_ms.saturating_mul(self.run_time_percent) / 100
+    }
+
     pub(super) fn task(&self, task: TaskRef) -> Option<&Task> {
         let occurrence = self.occurrences.get(&task.occurrence)?;
         let group = occurrence.groups.get(task.step as usize)?;
@@ -370,10 +384,12 @@
         )]
         let stretched = (chain_ms as f64 * stretch) as u64;
         let late_after = stretched + u64::try_from(slack).unwrap_or(u64::MAX);
+        let slack_ms = late_after.saturating_sub(chain_ms);
         Self {
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
             attempts: queue.map_or(1, |queue| queue.attempts).max(1),
             late_after: Duration::from_millis(late_after),
+            max_run_time_percent: 100 + slack_ms * 50 / chain_ms.max(1),
         }
     }
 }
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -39,6 +39,7 @@
 mod reply;
 mod report;
 mod retention;
+mod run_time;
 mod save;
 mod straggler;
 mod submission_rate;
@@ -237,6 +238,7 @@
     permissions: permission::Permissions,
     submission_rates: submission_rate::SubmissionRates,
     run_time_ratios: straggler::RunTimeRatios,
+    run_times: run_time::RunTimes,
     events: Vec<SchedulerEvent>,
 }
 
@@ -268,7 +270,8 @@
             permissions: permission::Permissions::default(),
             submission_rates: submission_rate::SubmissionRates::default(),
             run_time_ratios: straggler::RunTimeRatios::default(),
-            events: Vec::new(),
+            run_times: run_time::RunTimes::default(),
+            events: SchedulerEvent::learning_starts(options.features, term.number),
         }
     }
 
@@ -305,6 +308,7 @@
         }
         self.release_lapsed(now);
         self.open_occurrences(now, wall);
+        self.update_run_times(now);
         if authority == Authority::Certain {
             self.stop_stragglers(now);
             self.place(now);
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -1,6 +1,8 @@
 //! Events of the scheduler, for the log.
 
-use crate::job::{Resource, RunEnd, TaskName};
+use std::time::Duration;
+
+use crate::job::{Feature, Features, Resource, RunEnd, TaskName};
 
 /// A scheduling decision, or a change in the leader's view of runs and endpoints.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -121,6 +123,27 @@
         /// Lost work, in core-milliseconds.
         lost: u64,
     },
+    /// A leader begins to learn and knows nothing yet, as what earlier leaders learned isn't
+    /// stored.
+    LearningStarts {
+        /// What is learned.
+        feature: Feature,
+        /// Number of the leader's term.
+        term: u64,
+    },
+    /// The expected run times of a queue's tasks changed.
+    RunTimesLearned {
+        /// Name of the queue.
+        queue: String,
+        /// Mean run time, in percent of the callers' estimates.
+        mean_percent: u64,
+        /// High quantile of the run times, in percent of the callers' estimates.
+        high_percent: u64,
+        /// Number of runs that this is based on, each with the weight that its age leaves.
+        runs: u64,
+        /// Age of the newest of these runs.
+        age: Duration,
+    },
     /// A host is moved to another pool.
     HostMoves {
         /// Name of the host.
@@ -143,3 +166,21 @@
         wave: u64,
     },
 }
+
+/// Features that learn from the load of a leader's term.
+const LEARNING_FEATURES: [Feature; 3] = [
+    Feature::DemandPatterns,
+    Feature::EndpointPace,
+    Feature::RunTimeEstimates,
+];
+
+impl SchedulerEvent {
+    /// Returns the events that announce what a new leader begins to learn.
+    pub(super) fn learning_starts(features: Features, term: u64) -> Vec<Self> {
+        let learning = LEARNING_FEATURES.into_iter();
+        let active = learning.filter(|&feature| features.contains(feature));
+        active
+            .map(|feature| Self::LearningStarts { feature, term })
+            .collect()
+    }
+}
--- a/crates/core/src/job/scheduler/forecast.rs
+++ b/crates/core/src/job/scheduler/forecast.rs
@@ -31,6 +31,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Arrivals {
     recent: BTreeMap<String, VecDeque<Arrival>>,
+    /// Learned run times by queue, in percent of the estimates.
+    run_times: BTreeMap<String, u64>,
 }
 
 /// The work of one submitted job.
@@ -44,15 +46,23 @@
 impl Arrivals {
     /// Records a job that was submitted to a pool.
     pub(super) fn record_job(&mut self, now: Instant, pool: &str, record: &Record) {
+        let percent = self.run_times.get(&record.queue).copied().unwrap_or(100);
         let mut work = Resource::default();
         for step in record.spec.steps.iter().filter(|step| !step.long_running) {
-            let busy_ms = step.estimate_ms.min(PLANNING_HORIZON_MS);
+            let expected_ms = step.estimate_ms.saturating_mul(percent) / 100;
+            let busy_ms = expected_ms.min(PLANNING_HORIZON_MS);
             work.add(&step.reserved().times(u64::from(step.count) * busy_ms));
         }
         let recent = self.recent.entry(pool.to_owned()).or_default();
         recent.push_back(Arrival { at: now, work });
     }
 
+    /// Sets the learned run times of queues, in percent of the callers' estimates, for
+    /// jobs that arrive from now on.
+    pub(super) fn set_run_times(&mut self, run_times: BTreeMap<String, u64>) {
+        self.run_times = run_times;
+    }
+
     /// Registers a pool that an endpoint has joined.
     pub(super) fn register_pool(&mut self, pool: &str) {
         self.recent.entry(pool.to_owned()).or_default();
--- a/crates/core/src/job/scheduler/rank.rs
+++ b/crates/core/src/job/scheduler/rank.rs
@@ -113,7 +113,11 @@
             .iter()
             .filter_map(|&step| ends.get(step as usize));
         let start = earlier.copied().max().unwrap_or(0);
-        let duration_ms = if group.is_done() { 0 } else { step.estimate_ms };
+        let duration_ms = if group.is_done() {
+            0
+        } else {
+            job.expected_run_time_ms(step)
+        };
         ends.push(start + duration_ms);
     }
     Duration::from_millis(ends.into_iter().max().unwrap_or(0))
--- a/crates/core/src/job/scheduler/report.rs
+++ b/crates/core/src/job/scheduler/report.rs
@@ -92,6 +92,7 @@
         if let Some(run) = self.find_run(key, &reported.name, reported.number) {
             if reported.outcome == RunEnd::Done {
                 self.learn_run_time(now, run);
+                self.observe_run_time(now, run);
             }
             self.remove_run(now, run);
         }
--- a/crates/core/src/job/scheduler/straggler.rs
+++ b/crates/core/src/job/scheduler/straggler.rs
@@ -74,6 +74,15 @@
         self.run_time_ratios.record(&queue, percent);
     }
 
+    /// Returns the usual run time of a queue's tasks, in percent of their estimates, or
+    /// `None` if too few runs have ended.
+    fn usual_run_time_percent(&self, queue: &str) -> Option<u64> {
+        let learned = self.run_times.mean_percent(queue);
+        learned
+            .map(|percent| percent.max(100))
+            .or_else(|| self.run_time_ratios.usual(queue))
+    }
+
     /// Stops stragglers or marks them for a duplicate run, at most once per task.
     pub(super) fn stop_stragglers(&mut self, now: Instant) {
         let stragglers: Vec<(RunKey, TaskRef)> = self
@@ -109,7 +118,7 @@
         if !movable || straggler_handled || job.state.is_final() {
             return false;
         }
-        let Some(usual_percent) = self.run_time_ratios.usual(&job.record.queue) else {
+        let Some(usual_percent) = self.usual_run_time_percent(&job.record.queue) else {
             return false;
         };
         let run = &self.runs[key];
--- a/crates/core/tests/job_support/delivery.rs
+++ b/crates/core/tests/job_support/delivery.rs
@@ -114,6 +114,10 @@
             self.progress.insert(save.id.clone(), save.progress.clone());
             if save.is_final() {
                 self.finished_jobs.insert(save.id.clone());
+                self.observed
+                    .finished
+                    .entry(save.id.clone())
+                    .or_insert(self.now);
                 self.versions.remove(&key);
             } else {
                 self.versions.insert(key, self.revision);
@@ -143,7 +147,10 @@
     }
 
     pub(super) fn execute_start(&mut self, order: &Start) -> OrderOutcome {
-        let step = &self.records[&order.name.job].spec.steps[order.name.step as usize];
+        let record = &self.records[&order.name.job];
+        let mut step = record.spec.steps[order.name.step as usize].clone();
+        let percent = self.run_time_percent.get(&record.queue).unwrap_or(&100);
+        step.estimate_ms = step.estimate_ms * percent / 100;
         let task = order.name.to_string();
         let id = &order.target.id;
         let endpoint = self
@@ -159,7 +166,7 @@
             )
         });
         let outcome = if allowed {
-            endpoint.start(self.now, order, step)
+            endpoint.start(self.now, order, &step)
         } else {
             endpoint.reject(self.now, Rejection::NoPermission)
         };
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -55,6 +55,8 @@
     pub maintained: Vec<(Instant, String)>,
     /// Reported states of maintenance waves: wave number, state.
     pub waves: Vec<(u64, WaveState)>,
+    /// Times at which jobs were saved as finished, by identity.
+    pub finished: BTreeMap<String, Instant>,
     /// Number of start orders that endpoints rejected.
     pub rejections: usize,
     /// Number of orders to change the pace of a run.
@@ -84,6 +86,9 @@
     pub configuration: Configuration,
     /// Features that are on.
     features: Features,
+    /// Actual run time of tasks by queue, in percent of their estimates; 100 for a queue
+    /// without an entry.
+    pub run_time_percent: BTreeMap<String, u64>,
     /// What the leader may do.
     pub authority: Authority,
     /// Whether the store responds to writes.
@@ -236,6 +241,7 @@
             observed: Observations::default(),
             configuration,
             features,
+            run_time_percent: BTreeMap::new(),
             authority: Authority::Certain,
             store_available: true,
             policy: None,
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -1,5 +1,7 @@
 //! Writes the scheduler's notes to the log.
 
+use std::time::Duration;
+
 use rhubarbrill_core::job::scheduler::SchedulerEvent;
 use rhubarbrill_core::job::{RunEnd, TaskName};
 use rhubarbrill_event::Event;
@@ -112,6 +114,26 @@
             let fields = o!("job" => job, "runs" => runs, "lost_core_ms" => lost);
             event::log(out, Event::RunsPreempted, fields);
         }
+        SchedulerEvent::LearningStarts { feature, term } => {
+            let fields = o!("feature" => feature.as_str(), "term" => term);
+            event::log(out, Event::LearningStarts, fields);
+        }
+        SchedulerEvent::RunTimesLearned {
+            queue,
+            mean_percent,
+            high_percent,
+            runs,
+            age,
+        } => {
+            let fields = o!(
+                "queue" => queue,
+                "mean_percent" => mean_percent,
+                "high_percent" => high_percent,
+                "runs" => runs,
+                "age_ms" => millis(age),
+            );
+            event::log(out, Event::RunTimesLearned, fields);
+        }
         SchedulerEvent::HostMoves {
             host,
             from,
@@ -140,6 +162,10 @@
     }
 }
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn ended<P>(node: &Node<P>, name: &TaskName, number: u64, endpoint: String, end: RunEnd) {
     node.metrics.run_ended(end.as_str());
     let fields = run(name, number, endpoint, end.as_str());
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -201,6 +201,12 @@
     SaveFailed = 720, Warning,
         "Progress could not be written to the store; the write is retried.",
         "Check the store if it repeats.";
+    RunTimesLearned = 730, Info,
+        "The run times that are expected of a queue's tasks changed, relative to estimates.",
+        "Ask the queue's callers for better estimates if they are far off.";
+    LearningStarts = 731, Info,
+        "A new leader begins to learn from the load and knows nothing of earlier terms.",
+        "Nothing.";
 }
 
 impl Event {
