Recognize recurring demand and certain onsets, and move hosts before a turn

Cause: a host joins 1.5 s after it is ordered, and it is ordered once arrivals show the need. At the onset of a turn the pool was sized to a third of its final need after 0.5 s.

Ruled out: estimation as the main cause. Faster recognition at 40 jobs a second and fewer: too few jobs arrive in half a second.

Change: pattern.rs finds a period in the demand of a pool and the next onset; after one onset that came as forecast hosts move for half of it, then for all of it; a wrong forecast is dropped. onset.rs counts the whole rise once it is certain by four standard errors. Switch demand-patterns.

Conclusion: kept behind its switch.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -29,9 +29,11 @@
 mod intake;
 mod lease;
 mod listing;
+mod onset;
 mod order;
 mod outcome;
 mod pace;
+mod pattern;
 mod permission;
 mod place;
 mod preempt;
@@ -49,6 +51,7 @@
 pub use event::SchedulerEvent;
 pub use hosts::{Host, HostState, Move};
 pub use outcome::{ActiveRun, EndedRun, HoldOutcome, OrderOutcome, Rejection, RunReport};
+pub use pattern::PatternChange;
 pub use permission::{Permit, PolicyAnswer, PolicyQuestion, StepRef};
 pub use save::{Save, SaveOutcome};
 pub use wave::{Maintenance, Wave, WaveProgress, WaveState};
@@ -265,7 +268,7 @@
             deposed: false,
             hosts: hosts::Hosts::default(),
             waves: wave::Waves::default(),
-            arrivals: forecast::Arrivals::default(),
+            arrivals: forecast::Arrivals::new(options.features),
             pace_control: pace::PaceControl::default(),
             permissions: permission::Permissions::default(),
             submission_rates: submission_rate::SubmissionRates::default(),
@@ -332,6 +335,7 @@
         self.update_cordons();
         self.remove_finished(now, &mut commands);
         self.schedule_waves(now, &mut commands);
+        self.update_patterns(now);
         self.resize_pools(now, &mut commands);
         commands
     }
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::PatternChange;
 use crate::job::{Feature, Features, Resource, RunEnd, TaskName};
 
 /// A scheduling decision, or a change in the leader's view of runs and endpoints.
@@ -144,6 +145,23 @@
         /// Age of the newest of these runs.
         age: Duration,
     },
+    /// The forecast of recurring demand in a pool changed.
+    DemandPattern {
+        /// Name of the pool.
+        pool: String,
+        /// What happened to the forecast.
+        change: PatternChange,
+        /// Time between two onsets.
+        period: Duration,
+        /// Correlation of the demand with that of one period before.
+        correlation_percent: u64,
+        /// Time until the next onset is expected; zero if it is past.
+        onset_in: Duration,
+        /// Capacity that the demand keeps busy after an onset.
+        height: Resource,
+        /// Number of onsets that came as expected.
+        confirmations: u64,
+    },
     /// A host is moved to another pool.
     HostMoves {
         /// Name of the host.
--- a/crates/core/src/job/scheduler/forecast.rs
+++ b/crates/core/src/job/scheduler/forecast.rs
@@ -10,7 +10,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use crate::job::{Record, Resource};
+use super::Scheduler;
+use super::onset;
+use super::pattern::Patterns;
+use crate::job::{Feature, Features, Record, Resource};
 use crate::time::Instant;
 
 /// Length of the window whose mean is the estimate while the load is steady.
@@ -33,17 +36,28 @@
     recent: BTreeMap<String, VecDeque<Arrival>>,
     /// Learned run times by queue, in percent of the estimates.
     run_times: BTreeMap<String, u64>,
+    /// Whether recurring demand is recognized.
+    learns_patterns: bool,
+    pub(super) patterns: Patterns,
 }
 
 /// The work of one submitted job.
 #[derive(Clone, Copy, Debug)]
-struct Arrival {
-    at: Instant,
+pub(super) struct Arrival {
+    pub(super) at: Instant,
     /// Resources times the milliseconds for which they are busy.
-    work: Resource,
+    pub(super) work: Resource,
 }
 
 impl Arrivals {
+    /// Returns arrivals without any jobs.
+    pub(super) fn new(features: Features) -> Self {
+        Self {
+            learns_patterns: features.contains(Feature::DemandPatterns),
+            ..Self::default()
+        }
+    }
+
     /// Records a job that was submitted to a pool.
     pub(super) fn record_job(&mut self, now: Instant, pool: &str, record: &Record) {
         let percent = self.run_times.get(&record.queue).copied().unwrap_or(100);
@@ -53,6 +67,9 @@
             let busy_ms = expected_ms.min(PLANNING_HORIZON_MS);
             work.add(&step.reserved().times(u64::from(step.count) * busy_ms));
         }
+        if self.learns_patterns {
+            self.patterns.record(now, pool, &work);
+        }
         let recent = self.recent.entry(pool.to_owned()).or_default();
         recent.push_back(Arrival { at: now, work });
     }
@@ -80,6 +97,11 @@
             recent.pop_front();
         }
         let steady = sum(recent.iter()).divided_by(STEADY_WINDOW);
+        let usual = self.patterns.usual_demand(pool);
+        let risen =
+            usual.and_then(|usual| onset::risen_demand(now, &usual, recent.iter().rev()));
+        let recurring = self.patterns.expected(now, pool);
+        let steady = steady.max(&risen.unwrap_or_default()).max(&recurring);
         ONSET_WINDOWS.iter().fold(steady, |highest, &window| {
             let arrivals = recent
                 .iter()
@@ -90,8 +112,15 @@
     }
 }
 
+impl Scheduler {
+    /// Returns the capacity that jobs which are expected to arrive in a pool keep busy.
+    pub fn expected_demand(&mut self, now: Instant, pool: &str) -> Resource {
+        self.arrivals.expected(now, pool)
+    }
+}
+
 /// Returns the total work of some jobs.
-fn sum<'a>(arrivals: impl Iterator<Item = &'a Arrival>) -> Resource {
+pub(super) fn sum<'a>(arrivals: impl Iterator<Item = &'a Arrival>) -> Resource {
     let mut total = Resource::default();
     for arrival in arrivals {
         total.add(&arrival.work);
@@ -104,7 +133,9 @@
 ///
 /// Arrivals are independent of each other, so the variance of their total is the sum of
 /// the squares of the work of each.
-fn lower_estimate<'a>(arrivals: impl Iterator<Item = &'a Arrival> + Clone) -> Resource {
+pub(super) fn lower_estimate<'a>(
+    arrivals: impl Iterator<Item = &'a Arrival> + Clone,
+) -> Resource {
     let standard_error = |dimension: fn(&Resource) -> u64| {
         let squares = arrivals
             .clone()
@@ -122,7 +153,7 @@
 
 impl Resource {
     /// Returns the mean over `window` of an amount that is multiplied by milliseconds.
-    fn divided_by(&self, window: Duration) -> Self {
+    pub(super) fn divided_by(&self, window: Duration) -> Self {
         let window_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX).max(1);
         Self {
             cpu: self.cpu / window_ms,
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -9,6 +9,7 @@
 mod delivery;
 mod endpoint;
 mod policy;
+pub mod random;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -114,6 +114,26 @@
             let fields = o!("job" => job, "runs" => runs, "lost_core_ms" => lost);
             event::log(out, Event::RunsPreempted, fields);
         }
+        SchedulerEvent::DemandPattern {
+            pool,
+            change,
+            period,
+            correlation_percent,
+            onset_in,
+            height,
+            confirmations,
+        } => {
+            let fields = o!(
+                "pool" => pool,
+                "change" => change.as_str(),
+                "period_ms" => millis(period),
+                "correlation_percent" => correlation_percent,
+                "onset_in_ms" => millis(onset_in),
+                "height_cpu" => height.cpu,
+                "confirmations" => confirmations,
+            );
+            event::log(out, Event::DemandPattern, fields);
+        }
         SchedulerEvent::LearningStarts { feature, term } => {
             let fields = o!("feature" => feature.as_str(), "term" => term);
             event::log(out, Event::LearningStarts, fields);
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -207,6 +207,9 @@
     LearningStarts = 731, Info,
         "A new leader begins to learn from the load and knows nothing of earlier terms.",
         "Nothing.";
+    DemandPattern = 732, Info,
+        "A forecast of recurring demand was found, confirmed, acted on or dropped.",
+        "Nothing.";
 }
 
 impl Event {
