Learn the pace of endpoints, place by it and eject outliers in steps

Cause: packing fills slow endpoints like others, and one on which runs fail gets as many as before after each pause.

Ruled out: no work at all for an ejected endpoint, as nothing would show that it is sound again; classes finer than 15 %, which move the packing to other endpoints for chance differences.

Change: endpoint_pace.rs compares run times with those of the same queue elsewhere. Placement prefers endpoints that aren't slower; those over three times as slow, or failing most runs, get at most four and then one run at a time, never more than a third of a pool, and return in steps. Switch endpoint-pace.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -21,6 +21,7 @@
 
 mod balance;
 mod capacity;
+mod endpoint_pace;
 mod event;
 mod finish;
 mod forecast;
@@ -48,6 +49,7 @@
 mod vacate;
 mod wave;
 
+pub use endpoint_pace::RunLimit;
 pub use event::SchedulerEvent;
 pub use hosts::{Host, HostState, Move};
 pub use outcome::{ActiveRun, EndedRun, HoldOutcome, OrderOutcome, Rejection, RunReport};
@@ -242,6 +244,7 @@
     submission_rates: submission_rate::SubmissionRates,
     run_time_ratios: straggler::RunTimeRatios,
     run_times: run_time::RunTimes,
+    endpoint_paces: endpoint_pace::EndpointPaces,
     events: Vec<SchedulerEvent>,
 }
 
@@ -274,6 +277,7 @@
             submission_rates: submission_rate::SubmissionRates::default(),
             run_time_ratios: straggler::RunTimeRatios::default(),
             run_times: run_time::RunTimes::default(),
+            endpoint_paces: endpoint_pace::EndpointPaces::default(),
             events: SchedulerEvent::learning_starts(options.features, term.number),
         }
     }
@@ -312,6 +316,7 @@
         self.release_lapsed(now);
         self.open_occurrences(now, wall);
         self.update_run_times(now);
+        self.update_pace_classes(now);
         if authority == Authority::Certain {
             self.stop_stragglers(now);
             self.place(now);
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::PatternChange;
+use super::{PatternChange, RunLimit};
 use crate::job::{Feature, Features, Resource, RunEnd, TaskName};
 
 /// A scheduling decision, or a change in the leader's view of runs and endpoints.
@@ -145,6 +145,19 @@
         /// Age of the newest of these runs.
         age: Duration,
     },
+    /// An endpoint was ejected by a step, or returned by one.
+    RunLimitChanged {
+        /// Identity of the endpoint.
+        endpoint: String,
+        /// How many runs it may have at once from now on.
+        limit: RunLimit,
+        /// Run times on the endpoint, in percent of those of the same queues elsewhere.
+        run_time_percent: u64,
+        /// Share of failed runs, in percent.
+        failure_percent: u64,
+        /// Number of runs observed on the endpoint.
+        runs: u64,
+    },
     /// The forecast of recurring demand in a pool changed.
     DemandPattern {
         /// Name of the pool.
--- a/crates/core/src/job/scheduler/finish.rs
+++ b/crates/core/src/job/scheduler/finish.rs
@@ -126,6 +126,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(end.endpoint) {
             endpoint.record_failure(now);
         }
+        self.observe_failure(now, end.endpoint);
         let job = &mut self.jobs[task.job];
         let attempts = job.parameters.attempts as usize;
         let Some(task_state) = job.task_mut(task) else {
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -251,7 +251,7 @@
     /// Returns the best endpoint for a task, or `None` if it fits nowhere.
     ///
     /// Endpoints on which the task hasn't failed come first, then those near its data,
-    /// then, for long-running tasks, those with the most long-running runs, and then
+    /// then those that aren't slower than others, then, for long-running tasks, those with the most long-running runs, and then
     /// those with the least free capacity.
     fn choose_endpoint(
         &self,
@@ -277,6 +277,7 @@
                     .any(|&run| self.runs[run].endpoint == key);
                 reserved.fits(&endpoint.used, &endpoint.registration.capacity)
                     && !already_runs_there
+                    && self.is_within_run_limit(key)
                     && self.is_suitable(now, task, key)
             })
             .min_by_key(|&key| {
@@ -292,6 +293,7 @@
                 (
                     avoid.contains(&key),
                     remote,
+                    self.pace_class(key, task),
                     Reverse(long_running_count),
                     free,
                 )
--- a/crates/core/src/job/scheduler/reply.rs
+++ b/crates/core/src/job/scheduler/reply.rs
@@ -65,7 +65,11 @@
     }
 
     fn start_rejected(&mut self, now: Instant, key: RunKey, rejection: Rejection) {
-        let endpoint = &mut self.endpoints[self.runs[key].endpoint];
+        let endpoint_key = self.runs[key].endpoint;
+        if rejection == Rejection::Unhealthy {
+            self.observe_failure(now, endpoint_key);
+        }
+        let endpoint = &mut self.endpoints[endpoint_key];
         let number = self.runs[key].number;
         match rejection {
             Rejection::Fenced => self.deposed = true,
--- a/crates/core/src/job/scheduler/report.rs
+++ b/crates/core/src/job/scheduler/report.rs
@@ -93,6 +93,7 @@
             if reported.outcome == RunEnd::Done {
                 self.learn_run_time(now, run);
                 self.observe_run_time(now, run);
+                self.observe_pace(now, run);
             }
             self.remove_run(now, run);
         }
--- a/crates/core/src/job/scheduler/run_time.rs
+++ b/crates/core/src/job/scheduler/run_time.rs
@@ -216,6 +216,17 @@
 
     /// Returns whether the length of a run tells how long others of its queue will take.
     fn is_representative(&self, key: RunKey) -> bool {
+        let run = &self.runs[key];
+        let endpoint = &self.endpoints[run.endpoint];
+        run.task
+            .is_some_and(|task| self.pace_class(run.endpoint, task) == 0)
+            && self.has_comparable_run_time(key)
+            && endpoint.reachability == Reachability::Reachable
+            && endpoint.consecutive_failures == 0
+    }
+
+    /// Returns whether the length of a run depends only on its task and its endpoint.
+    pub(super) fn has_comparable_run_time(&self, key: RunKey) -> bool {
         let run = &self.runs[key];
         let Some(task) = run.task else {
             return false;
@@ -231,8 +242,6 @@
             && has_comparable_work
             && is_near_data
             && run.started_by_this_leader
-            && endpoint.reachability == Reachability::Reachable
-            && endpoint.consecutive_failures == 0
     }
 
     /// Brings the learned run times into use for waiting jobs and for the forecast.
--- a/crates/core/src/job/scheduler/straggler.rs
+++ b/crates/core/src/job/scheduler/straggler.rs
@@ -101,6 +101,7 @@
                 task_state.avoid.push(endpoint);
             }
             self.endpoints[endpoint].record_failure(now);
+            self.observe_straggler(now, key);
             if !allows_duplicates {
                 self.stop(now, key, "much slower than similar tasks elsewhere");
             }
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -114,6 +114,22 @@
             let fields = o!("job" => job, "runs" => runs, "lost_core_ms" => lost);
             event::log(out, Event::RunsPreempted, fields);
         }
+        SchedulerEvent::RunLimitChanged {
+            endpoint,
+            limit,
+            run_time_percent,
+            failure_percent,
+            runs,
+        } => {
+            let fields = o!(
+                "endpoint" => endpoint,
+                "limit" => limit.as_str(),
+                "run_time_percent" => run_time_percent,
+                "failure_percent" => failure_percent,
+                "runs" => runs,
+            );
+            event::log(out, Event::RunLimitChanged, fields);
+        }
         SchedulerEvent::DemandPattern {
             pool,
             change,
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -210,6 +210,9 @@
     DemandPattern = 732, Info,
         "A forecast of recurring demand was found, confirmed, acted on or dropped.",
         "Nothing.";
+    RunLimitChanged = 733, Warning,
+        "An endpoint that is far slower than others, or fails, gets fewer runs, or more again.",
+        "Check the endpoint and its host if it repeats.";
 }
 
 impl Event {
