--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -22,6 +22,7 @@
 mod balance;
 mod capacity;
 mod cold;
+mod endpoint_pace;
 mod evacuation;
 mod event;
 mod finish;
@@ -32,9 +33,11 @@
 mod intake;
 mod lease;
 mod listing;
+mod onset;
 mod order;
 mod outcome;
 mod pace;
+mod pattern;
 mod permission;
 mod place;
 mod preempt;
@@ -42,6 +45,7 @@
 mod reply;
 mod report;
 mod retention;
+mod run_time;
 mod save;
 mod straggler;
 mod submission_rate;
@@ -49,10 +53,12 @@
 mod wave;
 
 pub use cold::ColdLimits;
+pub use endpoint_pace::RunLimit;
 pub use evacuation::{EvacuationProgress, EvacuationReport};
 pub use event::SchedulerEvent;
 pub use hosts::{Host, HostState, Move};
 pub use outcome::{ActiveRun, EndedRun, HoldOutcome, OrderOutcome, Rejection, RunReport};
+pub use pattern::PatternChange;
 pub use permission::{Permit, PolicyAnswer, PolicyQuestion, StepRef};
 pub use save::{Save, SaveOutcome};
 pub use wave::{Maintenance, Wave, WaveProgress, WaveState};
@@ -251,6 +257,8 @@
     permissions: permission::Permissions,
     submission_rates: submission_rate::SubmissionRates,
     run_time_ratios: straggler::RunTimeRatios,
+    run_times: run_time::RunTimes,
+    endpoint_paces: endpoint_pace::EndpointPaces,
     events: Vec<SchedulerEvent>,
 }
 
@@ -279,12 +287,14 @@
             waves: wave::Waves::default(),
             evacuations: evacuation::Evacuations::default(),
             recent_starts: cold::RecentStarts::default(),
-            arrivals: forecast::Arrivals::default(),
+            arrivals: forecast::Arrivals::new(options.features),
             pace_control: pace::PaceControl::default(),
             permissions: permission::Permissions::default(),
             submission_rates: submission_rate::SubmissionRates::default(),
             run_time_ratios: straggler::RunTimeRatios::default(),
-            events: Vec::new(),
+            run_times: run_time::RunTimes::default(),
+            endpoint_paces: endpoint_pace::EndpointPaces::default(),
+            events: SchedulerEvent::learning_starts(options.features, term.number),
         }
     }
 
@@ -321,6 +331,8 @@
         }
         self.release_lapsed(now);
         self.open_occurrences(now, wall);
+        self.update_run_times(now);
+        self.update_pace_classes(now);
         if authority == Authority::Certain {
             self.stop_stragglers(now);
             self.place(now);
@@ -345,6 +357,7 @@
         self.remove_finished(now, &mut commands);
         self.schedule_waves(now, &mut commands);
         self.advance_evacuations(now, &mut commands);
+        self.update_patterns(now);
         self.resize_pools(now, &mut commands);
         commands
     }
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::EvacuationProgress;
-use crate::job::{Resource, RunEnd, TaskName};
+use super::{EvacuationProgress, PatternChange, RunLimit};
+use crate::job::{Feature, Features, Resource, RunEnd, TaskName};
 
 /// A scheduling decision, or a change in the leader's view of runs and endpoints.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -160,6 +160,57 @@
         /// Number of zones that have an endpoint or a host.
         zones: usize,
     },
+    /// A leader begins to learn and knows nothing yet, as what earlier leaders learned isn't
+    /// stored.
+    LearningStarts {
+        /// What is learned.
+        feature: Feature,
+        /// Number of the leader's term.
+        term: u64,
+    },
+    /// The expected run times of a queue's tasks changed.
+    RunTimesLearned {
+        /// Name of the queue.
+        queue: String,
+        /// Mean run time, in percent of the callers' estimates.
+        mean_percent: u64,
+        /// High quantile of the run times, in percent of the callers' estimates.
+        high_percent: u64,
+        /// Number of runs that this is based on, each with the weight that its age leaves.
+        runs: u64,
+        /// Age of the newest of these runs.
+        age: Duration,
+    },
+    /// An endpoint was ejected by a step, or returned by one.
+    RunLimitChanged {
+        /// Identity of the endpoint.
+        endpoint: String,
+        /// How many runs it may have at once from now on.
+        limit: RunLimit,
+        /// Run times on the endpoint, in percent of those of the same queues elsewhere.
+        run_time_percent: u64,
+        /// Share of failed runs, in percent.
+        failure_percent: u64,
+        /// Number of runs observed on the endpoint.
+        runs: u64,
+    },
+    /// The forecast of recurring demand in a pool changed.
+    DemandPattern {
+        /// Name of the pool.
+        pool: String,
+        /// What happened to the forecast.
+        change: PatternChange,
+        /// Time between two onsets.
+        period: Duration,
+        /// Correlation of the demand with that of one period before.
+        correlation_percent: u64,
+        /// Time until the next onset is expected; zero if it is past.
+        onset_in: Duration,
+        /// Capacity that the demand keeps busy after an onset.
+        height: Resource,
+        /// Number of onsets that came as expected.
+        confirmations: u64,
+    },
     /// A host is moved to another pool.
     HostMoves {
         /// Name of the host.
@@ -191,3 +242,21 @@
         wave: u64,
     },
 }
+
+/// Features that learn from the load of a leader's term.
+const LEARNING_FEATURES: [Feature; 3] = [
+    Feature::DemandPatterns,
+    Feature::EndpointPace,
+    Feature::RunTimeEstimates,
+];
+
+impl SchedulerEvent {
+    /// Returns the events that announce what a new leader begins to learn.
+    pub(super) fn learning_starts(features: Features, term: u64) -> Vec<Self> {
+        let learning = LEARNING_FEATURES.into_iter();
+        let active = learning.filter(|&feature| features.contains(feature));
+        active
+            .map(|feature| Self::LearningStarts { feature, term })
+            .collect()
+    }
+}
--- a/crates/core/src/job/scheduler/forecast.rs
+++ b/crates/core/src/job/scheduler/forecast.rs
@@ -10,7 +10,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use crate::job::{Record, Resource};
+use super::Scheduler;
+use super::onset;
+use super::pattern::Patterns;
+use crate::job::{Feature, Features, Record, Resource};
 use crate::time::Instant;
 
 /// Length of the window whose mean is the estimate while the load is steady.
@@ -37,17 +40,30 @@
     /// Arrivals by pool, in order of their times.
     recent: BTreeMap<String, VecDeque<Arrival>>,
     clock_offset: ClockOffset,
+    /// Learned run times by queue, in percent of the estimates.
+    run_times: BTreeMap<String, u64>,
+    /// Whether recurring demand is recognized.
+    learns_patterns: bool,
+    pub(super) patterns: Patterns,
 }
 
 /// The work of one submitted job.
 #[derive(Clone, Copy, Debug)]
-struct Arrival {
-    at: Instant,
+pub(super) struct Arrival {
+    pub(super) at: Instant,
     /// Resources times the milliseconds for which they are busy.
-    work: Resource,
+    pub(super) work: Resource,
 }
 
 impl Arrivals {
+    /// Returns arrivals without any jobs.
+    pub(super) fn new(features: Features) -> Self {
+        Self {
+            learns_patterns: features.contains(Feature::DemandPatterns),
+            ..Self::default()
+        }
+    }
+
     /// Records a job that was submitted to a pool and is `age` old by the clocks of its
     /// entry host and of the leader.
     ///
@@ -65,16 +81,27 @@
             return;
         }
         let at = now.saturating_sub(age);
+        let percent = self.run_times.get(&record.queue).copied().unwrap_or(100);
         let mut work = Resource::default();
         for step in record.spec.steps.iter().filter(|step| !step.long_running) {
-            let busy_ms = step.estimate_ms.min(PLANNING_HORIZON_MS);
+            let expected_ms = step.estimate_ms.saturating_mul(percent) / 100;
+            let busy_ms = expected_ms.min(PLANNING_HORIZON_MS);
             work.add(&step.reserved().times(u64::from(step.count) * busy_ms));
         }
+        if self.learns_patterns {
+            self.patterns.record(at, pool, &work);
+        }
         let recent = self.recent.entry(pool.to_owned()).or_default();
         let position = recent.partition_point(|arrival| arrival.at <= at);
         recent.insert(position, Arrival { at, work });
     }
 
+    /// Sets the learned run times of queues, in percent of the callers' estimates, for
+    /// jobs that arrive from now on.
+    pub(super) fn set_run_times(&mut self, run_times: BTreeMap<String, u64>) {
+        self.run_times = run_times;
+    }
+
     /// Registers a pool that an endpoint has joined.
     pub(super) fn register_pool(&mut self, pool: &str) {
         self.recent.entry(pool.to_owned()).or_default();
@@ -92,6 +119,11 @@
             recent.pop_front();
         }
         let steady = sum(recent.iter()).divided_by(STEADY_WINDOW);
+        let usual = self.patterns.usual_demand(pool);
+        let risen =
+            usual.and_then(|usual| onset::risen_demand(now, &usual, recent.iter().rev()));
+        let recurring = self.patterns.expected(now, pool);
+        let steady = steady.max(&risen.unwrap_or_default()).max(&recurring);
         ONSET_WINDOWS.iter().fold(steady, |highest, &window| {
             let arrivals = recent
                 .iter()
@@ -135,8 +167,15 @@
     }
 }
 
+impl Scheduler {
+    /// Returns the capacity that jobs which are expected to arrive in a pool keep busy.
+    pub fn expected_demand(&mut self, now: Instant, pool: &str) -> Resource {
+        self.arrivals.expected(now, pool)
+    }
+}
+
 /// Returns the total work of some jobs.
-fn sum<'a>(arrivals: impl Iterator<Item = &'a Arrival>) -> Resource {
+pub(super) fn sum<'a>(arrivals: impl Iterator<Item = &'a Arrival>) -> Resource {
     let mut total = Resource::default();
     for arrival in arrivals {
         total.add(&arrival.work);
@@ -149,7 +188,9 @@
 ///
 /// Arrivals are independent of each other, so the variance of their total is the sum of
 /// the squares of the work of each.
-fn lower_estimate<'a>(arrivals: impl Iterator<Item = &'a Arrival> + Clone) -> Resource {
+pub(super) fn lower_estimate<'a>(
+    arrivals: impl Iterator<Item = &'a Arrival> + Clone,
+) -> Resource {
     let standard_error = |dimension: fn(&Resource) -> u64| {
         let squares = arrivals
             .clone()
@@ -167,7 +208,7 @@
 
 impl Resource {
     /// Returns the mean over `window` of an amount that is multiplied by milliseconds.
-    fn divided_by(&self, window: Duration) -> Self {
+    pub(super) fn divided_by(&self, window: Duration) -> Self {
         let window_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX).max(1);
         Self {
             cpu: self.cpu / window_ms,
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -252,7 +252,8 @@
     /// Returns the best endpoint for a task, or `None` if it fits nowhere.
     ///
     /// Endpoints on which the task hasn't failed come first, then those that aren't cold,
-    /// then those near its data, then, for long-running tasks, those with the most long-running runs, and then
+    /// then those near its data, then those that aren't slower than others, then, for
+    /// long-running tasks, those with the most long-running runs, and then
     /// those with the least free capacity.
     fn choose_endpoint(
         &self,
@@ -279,6 +280,7 @@
                 reserved.fits(&endpoint.used, &endpoint.registration.capacity)
                     && self.is_warm_enough(now, key, &reserved)
                     && !already_runs_there
+                    && self.is_within_run_limit(key)
                     && self.is_suitable(now, task, key)
             })
             .min_by_key(|&key| {
@@ -295,6 +297,7 @@
                     avoid.contains(&key),
                     self.cold_penalty(now, key, task),
                     remote,
+                    self.pace_class(key, task),
                     Reverse(long_running_count),
                     free,
                 )
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -9,6 +9,7 @@
 mod delivery;
 mod endpoint;
 mod policy;
+pub mod random;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -61,6 +62,8 @@
     pub evacuations: Vec<(Instant, EvacuationReport)>,
     /// Last checkpoint that a start order carried, by task.
     pub resumed_from: BTreeMap<String, String>,
+    /// Times at which jobs were saved as finished, by identity.
+    pub finished: BTreeMap<String, Instant>,
     /// Number of start orders that endpoints rejected.
     pub rejections: usize,
     /// Number of orders to change the pace of a run.
@@ -92,6 +95,9 @@
     pub configuration: Configuration,
     /// Options of each leader's scheduler.
     options: Options,
+    /// Actual run time of tasks by queue, in percent of their estimates; 100 for a queue
+    /// without an entry.
+    pub run_time_percent: BTreeMap<String, u64>,
     /// What the leader may do.
     pub authority: Authority,
     /// Whether the store responds to writes.
@@ -265,6 +271,7 @@
             observed: Observations::default(),
             configuration,
             options,
+            run_time_percent: BTreeMap::new(),
             authority: Authority::Certain,
             store_available: true,
             policy: None,
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -1,5 +1,7 @@
 //! Writes the scheduler's notes to the log.
 
+use std::time::Duration;
+
 use rhubarbrill_core::job::scheduler::SchedulerEvent;
 use rhubarbrill_core::job::{RunEnd, TaskName};
 use rhubarbrill_event::Event;
@@ -142,6 +144,62 @@
             let fields = o!("endpoint" => endpoint, "cold_ms" => cold_ms);
             event::log(out, Event::EndpointCold, fields);
         }
+        SchedulerEvent::RunLimitChanged {
+            endpoint,
+            limit,
+            run_time_percent,
+            failure_percent,
+            runs,
+        } => {
+            let fields = o!(
+                "endpoint" => endpoint,
+                "limit" => limit.as_str(),
+                "run_time_percent" => run_time_percent,
+                "failure_percent" => failure_percent,
+                "runs" => runs,
+            );
+            event::log(out, Event::RunLimitChanged, fields);
+        }
+        SchedulerEvent::DemandPattern {
+            pool,
+            change,
+            period,
+            correlation_percent,
+            onset_in,
+            height,
+            confirmations,
+        } => {
+            let fields = o!(
+                "pool" => pool,
+                "change" => change.as_str(),
+                "period_ms" => millis(period),
+                "correlation_percent" => correlation_percent,
+                "onset_in_ms" => millis(onset_in),
+                "height_cpu" => height.cpu,
+                "confirmations" => confirmations,
+            );
+            event::log(out, Event::DemandPattern, fields);
+        }
+        SchedulerEvent::LearningStarts { feature, term } => {
+            let fields = o!("feature" => feature.as_str(), "term" => term);
+            event::log(out, Event::LearningStarts, fields);
+        }
+        SchedulerEvent::RunTimesLearned {
+            queue,
+            mean_percent,
+            high_percent,
+            runs,
+            age,
+        } => {
+            let fields = o!(
+                "queue" => queue,
+                "mean_percent" => mean_percent,
+                "high_percent" => high_percent,
+                "runs" => runs,
+                "age_ms" => millis(age),
+            );
+            event::log(out, Event::RunTimesLearned, fields);
+        }
         SchedulerEvent::HostMoves {
             host,
             from,
@@ -184,6 +242,10 @@
     }
 }
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn ended<P>(node: &Node<P>, name: &TaskName, number: u64, endpoint: String, end: RunEnd) {
     node.metrics.run_ended(end.as_str());
     let fields = run(name, number, endpoint, end.as_str());
