Resume starts at once after an outage of the store

Cause, traced by a new test against the stand-in (outage of 4.9 s, three entry hosts): - 503: the leader's lease expires during the outage. The operators' section has no changes, so its first watch after the return waits its full second, and until then the whole view counts as older than the 1.5 s that a candidate may have. Nobody runs for election for that second, although the shared section is up to date 50 ms after the return; then the new term reads everything again and asks each endpoint. First start after 1.04 s, 142 starts in the second from 0.5 s on, 267 in a second before. - Silence: watches wait up to 1.6 s, lists 2.5 s, writes and renewals 0.7 s for answers to calls that the store never received. No start within 1.5 s.

Ruled out: the backoff of core::round_trip (the first answer resets it) and the limit of 16 writes (their slots are free 50 ms after a refusal; in silence they are held by the timeouts above).

Change: - A leader whose lease expired writes its record again under a new lease, on condition that there is no record and that the term counter still has the revision of its election, so that nobody has led since. It keeps its term, fencing token, runs and endpoints (lead::renewal, lead::record; event 238).

--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -10,6 +10,7 @@
 use uuid::Uuid;
 
 use super::authority::LeaseValidity;
+use super::record::Record;
 use super::term;
 use crate::node::Node;
 use crate::platform::{
@@ -43,14 +44,34 @@
 /// Maximum number of attempts to commit an election whose outcome is unknown.
 const COMMIT_ATTEMPTS: u32 = 4;
 
-/// A won election: the term, the lease and its validity.
+/// A won election: the term, the leader's record and the validity of its lease.
 #[derive(Debug)]
 pub(super) struct Leadership {
     pub(super) term: Term,
-    pub(super) lease: Lease,
+    pub(super) record: Record,
     pub(super) validity: LeaseValidity,
 }
 
+/// The outcome of an attempt to write the leader's record again.
+#[derive(Debug)]
+pub(super) enum Reclaim {
+    /// The record was written at this revision, attached to this lease.
+    Done { revision: u64, lease: Lease },
+    /// Another process leads or has led, or may do so.
+    Lost,
+    /// The store granted no lease.
+    Unavailable,
+}
+
+/// The state of the store in which a leader's record may be written.
+#[derive(Debug)]
+struct Expected {
+    /// Revision of the leader's record; 0 if there must be none.
+    leader: u64,
+    /// Revision of the term counter.
+    counter: u64,
+}
+
 /// Runs for election whenever there is no leader, and leads when elected. Returns when
 /// the process is asked to stop.
 pub async fn campaign<P: Platform>(node: Rc<Node<P>>) {
@@ -113,47 +134,81 @@
     own: &Leader,
     vacancy: Vacancy,
 ) -> Option<Leadership> {
-    let store = node.platform.store();
     let sent = clock::now();
     let ttl = LEASE_TTL.max(node.settings.min_lease);
     // Without a lease the process can't run for election; the next check tries again.
-    let lease = store.grant(ttl).await.ok()?;
+    let lease = node.platform.store().grant(ttl).await.ok()?;
     let validity = LeaseValidity::new(sent, lease.ttl);
     let counter = node.view.borrow().term.clone();
     let number = counter.as_ref().map_or(0, |counter| counter.value.number) + 1;
-    let leader = serde_json::to_vec(own).ok()?;
-    let transaction = Transaction {
-        conditions: vec![
-            condition(key::LEADER, vacancy.revision()),
-            condition(key::TERM, counter.map_or(0, |counter| counter.revision)),
-        ],
-        writes: vec![
-            write(key::LEADER, leader.clone(), Some(lease.id)),
-            write(
-                key::TERM,
-                serde_json::to_vec(&TermCounter { number }).ok()?,
-                None,
-            ),
-        ],
-        removals: Vec::new(),
-    };
-    let fencing_token = commit_until_certain(node, &transaction, &leader).await;
-    let Some(fencing_token) = fencing_token else {
-        // If this call is lost, the unused lease expires.
-        let _ = store.revoke(lease.id).await;
-        return None;
+    let expected = Expected {
+        leader: vacancy.revision(),
+        counter: counter.map_or(0, |counter| counter.revision),
     };
+    let next = TermCounter { number };
+    let fencing_token = write_record(node, own, &lease, &expected, Some(next)).await?;
     Some(Leadership {
         term: Term {
             fencing_token,
             number,
             start_revision: fencing_token,
         },
-        lease,
+        record: Record::new(own.clone(), fencing_token, lease),
         validity,
     })
 }
 
+/// Writes the record of a leader whose lease has ended again, under a new lease. The term
+/// counter still having the revision of the election shows that nobody else has led
+/// since, so the term and its fencing token stay as they are.
+pub(super) async fn reclaim<P: Platform>(
+    node: &Node<P>,
+    leadership: &Leadership,
+) -> Reclaim {
+    let ttl = LEASE_TTL.max(node.settings.min_lease);
+    let Ok(lease) = node.platform.store().grant(ttl).await else {
+        return Reclaim::Unavailable;
+    };
+    let expected = Expected {
+        leader: 0,
+        counter: leadership.term.fencing_token,
+    };
+    match write_record(node, &leadership.record.own, &lease, &expected, None).await {
+        Some(revision) => Reclaim::Done { revision, lease },
+        None => Reclaim::Lost,
+    }
+}
+
+/// Writes the leader's record and, for a new term, its counter. Returns the store revision
+/// of the record; otherwise ends the lease and returns `None`.
+async fn write_record<P: Platform>(
+    node: &Node<P>,
+    own: &Leader,
+    lease: &Lease,
+    expected: &Expected,
+    counter: Option<TermCounter>,
+) -> Option<u64> {
+    let leader = serde_json::to_vec(own).ok()?;
+    let mut writes = vec![write(key::LEADER, leader.clone(), Some(lease.id))];
+    if let Some(counter) = counter {
+        writes.push(write(key::TERM, serde_json::to_vec(&counter).ok()?, None));
+    }
+    let transaction = Transaction {
+        conditions: vec![
+            condition(key::LEADER, expected.leader),
+            condition(key::TERM, expected.counter),
+        ],
+        writes,
+        removals: Vec::new(),
+    };
+    let revision = commit_until_certain(node, &transaction, &leader).await;
+    if revision.is_none() {
+        // If this call is lost, the unused lease expires.
+        let _ = node.platform.store().revoke(lease.id).await;
+    }
+    revision
+}
+
 /// Sends the transaction until it is certain whether it took effect. Returns its revision
 /// if it did; gives up after [`COMMIT_ATTEMPTS`].
 async fn commit_until_certain<P: Platform>(
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rhubarbrill_core::job::leader::Leader;
 use rhubarbrill_core::job::scheduler::{
     Save, SaveOutcome, Wave, WaveProgress, WaveState,
 };
@@ -13,9 +14,9 @@
 
 use super::orders::notify;
 use super::recovery::{OrdersRecord, WaveRecord};
-use super::term::{Message, Shared};
+use super::term::{Message, Shared, check_leader};
 use crate::platform::{CommitOutcome, Condition, Item, Platform, Transaction, Write};
-use crate::view::Pending;
+use crate::view::{Pending, decode};
 use crate::{event, key};
 
 /// Delay after a failed write.
@@ -72,12 +73,7 @@
         Ok(CommitOutcome::Conflict(items)) => {
             shared.node.metrics.store_write("conflict");
             report_conflict(shared, saves, &items);
-            let leader = items.iter().find(|item| item.key == key::LEADER);
-            if leader
-                .is_some_and(|item| item.revision != shared.leadership.term.fencing_token)
-            {
-                shared.leadership.validity.end();
-            }
+            check_leader_item(shared, &items);
             let version = |save: &Save| (save.job, stored_revision(&items, save));
             SaveOutcome::Conflict(saves.iter().map(version).collect())
         }
@@ -92,6 +88,22 @@
     }
 }
 
+/// Checks the leader's record that a conflicting write has found, if its revision isn't
+/// the expected one. A record that can't be decoded was written by another process.
+fn check_leader_item<P>(shared: &Shared<P>, items: &[Item]) {
+    let item = items.iter().find(|item| item.key == key::LEADER);
+    let Some(item) =
+        item.filter(|item| item.revision != shared.leadership.record.revision())
+    else {
+        return;
+    };
+    match item.value.as_deref().map(decode::<Leader>) {
+        None => check_leader(shared, None),
+        Some(Ok(leader)) => check_leader(shared, Some(&leader)),
+        Some(Err(_)) => shared.leadership.validity.end(),
+    }
+}
+
 /// Returns the store revision of a job's progress; 0 if there is none.
 fn stored_revision(items: &[Item], save: &Save) -> u64 {
     let wanted = key::progress(&save.id);
@@ -216,7 +228,7 @@
 fn leader_condition<P>(shared: &Shared<P>) -> Condition {
     Condition {
         key: key::LEADER.to_owned(),
-        revision: shared.leadership.term.fencing_token,
+        revision: shared.leadership.record.revision(),
     }
 }
 
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rhubarbrill_core::job::leader::Leader;
 use rhubarbrill_core::job::scheduler::{
     Authority, Command, HoldOutcome, Host, Maintenance, OrderOutcome, Pace, PolicyAnswer,
     PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress, WaveState,
@@ -20,7 +21,7 @@
 use super::orders::notify;
 use super::recovery::RecoveredState;
 use super::takeover::{self, LeaderState};
-use super::{hosts, notes, orders, save};
+use super::{hosts, notes, orders, renewal, save};
 use crate::node::Node;
 use crate::platform::{Changes, HostOrderOutcome, Platform, Section, Store};
 use crate::view::{Delta, Pending};
@@ -36,9 +37,6 @@
 /// are up to two seconds old.
 const PENDING_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval between renewals of the leader's lease.
-const RENEW_INTERVAL: Duration = Duration::from_millis(300);
-
 /// A message to the leader's task.
 #[derive(Debug)]
 pub(super) enum Message {
@@ -95,7 +93,8 @@
         host_orders,
     });
     let done = CancellationToken::new();
-    let renewal = tokio::task::spawn_local(renew(Rc::clone(&shared), done.clone()));
+    let renewal =
+        tokio::task::spawn_local(renewal::renew(Rc::clone(&shared), done.clone()));
     let listing = tokio::task::spawn_local(hosts::list(Rc::clone(&shared), done.clone()));
     let ordering =
         tokio::task::spawn_local(hosts::send(Rc::clone(&shared), orders, done.clone()));
@@ -114,7 +113,7 @@
         .node
         .platform
         .store()
-        .revoke(shared.leadership.lease.id)
+        .revoke(shared.leadership.record.lease().id)
         .await;
     log_term(&shared, Event::TermEnded);
 }
@@ -139,7 +138,7 @@
     }
 }
 
-fn log_term<P: Platform>(shared: &Shared<P>, event: Event) {
+pub(super) fn log_term<P: Platform>(shared: &Shared<P>, event: Event) {
     let term = shared.leadership.term;
     let fields = o!("fence" => term.fencing_token, "term" => term.number);
     event::log(&shared.node.log, event, fields);
@@ -231,6 +230,17 @@
     }
 }
 
+/// Ends the leadership if another process leads. A missing record may be this leader's,
+/// whose lease expired while the store was away; then the next renewal finds out.
+pub(super) fn check_leader<P>(shared: &Shared<P>, leader: Option<&Leader>) {
+    let leadership = &shared.leadership;
+    match leader {
+        None => leadership.record.report_gone(),
+        Some(leader) if leadership.record.is_own(leader) => {}
+        Some(_) => leadership.validity.end(),
+    }
+}
+
 fn apply_deltas<P: Platform>(
     shared: &Shared<P>,
     scheduler: &mut Scheduler,
@@ -252,14 +262,7 @@
                 }
             }
             Delta::Leader => {
-                let fence = shared.leadership.term.fencing_token;
-                if view
-                    .leader
-                    .as_ref()
-                    .is_none_or(|leader| leader.revision != fence)
-                {
-                    shared.leadership.validity.end();
-                }
+                check_leader(shared, view.leader.as_ref().map(|leader| &leader.value));
             }
             Delta::State | Delta::Unreadable { .. } => {}
         }
@@ -341,25 +344,3 @@
         }
     }
 }
-
-/// Renews the leader's lease until the term ends.
-async fn renew<P: Platform>(shared: Rc<Shared<P>>, done: CancellationToken) {
-    let validity = &shared.leadership.validity;
-    let lease = shared.leadership.lease;
-    loop {
-        tokio::select! {
-            () = done.cancelled() => return,
-            () = tokio::time::sleep(RENEW_INTERVAL) => {}
-        }
-        let sent = clock::now();
-        match shared.node.renew(lease.id).await {
-            Ok(true) => validity.renew(sent, lease.ttl),
-            Ok(false) => {
-                validity.end();
-                return;
-            }
-            // A later renewal may succeed; until then the remaining validity runs out.
-            Err(_) => {}
-        }
-    }
-}
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -115,6 +115,9 @@
     TermSuspended = 234, Warning,
         "The leader couldn't renew its lease for seconds, so it sends nothing.",
         "Check the store. If its leases paused, the leader continues once it is back.";
+    TermReclaimed = 238, Info,
+        "The leader's lease expired while no other process could replace it, and the leader continues its term under a new lease.",
+        "Nothing after an outage of the store.";
     PeerUp = 300, Info,
         "A peer responds to heartbeats.", "Nothing.";
     PeerDown = 301, Warning,
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -25,6 +25,9 @@
     None,
     /// Every request is rejected with status 503.
     Unavailable,
+    /// Requests are neither executed nor answered while the fault lasts; those that wait
+    /// when it ends are never answered.
+    Silent,
     /// Transactions are applied, but receive no response.
     WritesUnanswered,
     /// Every request is delayed by this many milliseconds.
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -22,6 +22,9 @@
     if store_fault == StoreFault::Unavailable {
         return Some((StatusCode::SERVICE_UNAVAILABLE, Value::Null));
     }
+    if store_fault == StoreFault::Silent {
+        return std::future::pending().await;
+    }
     if let StoreFault::Delayed(delay_ms) = store_fault {
         tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     }
@@ -85,6 +88,10 @@
             if state.store_fault == StoreFault::Unavailable {
                 return Some((StatusCode::SERVICE_UNAVAILABLE, Value::Null));
             }
+            if state.store_fault == StoreFault::Silent {
+                drop(state);
+                return std::future::pending().await;
+            }
             if after < state.compact_revision {
                 return Some((StatusCode::GONE, Value::Null));
             }
