Keep idle endpoints whose registrations expired in an outage

Cause: the registrations of all endpoints expire in an outage of the store. An endpoint with runs keeps receiving work for 2 s (REGISTRATION_GRACE), but one without was removed at once, and after 5 s without starts most are idle. On the virtual clock (350 endpoints, 240 starts each 0.1 s): no start for 1.1 s, then 2,800 in one 0.1 s, then none for 0.4 s, as all endpoints are full.

Change: an idle endpoint that was reachable when its registration expired is sent a hold at once. It receives work within the same grace once it has replied, and is removed without waiting for a lease if it doesn't reply.

Both new tests fail without their half of the change: "nothing starts within 0.3 s" with the removal at once, and starts at a removed endpoint without the confirmation. All tests of rhubarbrill-core pass.

The simulation's expiring registrations go the same way as the leader's now.

--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -238,12 +238,20 @@
         self.consecutive_failures = 0;
     }
 
+    /// Returns whether the endpoint is idle and hasn't replied since its registration was
+    /// found missing, so that it may have left.
+    pub(super) fn must_confirm_presence(&self) -> bool {
+        let since = self.unregistered_since.filter(|_| self.is_idle());
+        since.is_some_and(|since| !self.has_replied_since(since))
+    }
+
     /// Returns whether new runs may be placed here.
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
         let registered = self
             .unregistered_since
             .is_none_or(|since| now.saturating_since(since) < REGISTRATION_GRACE);
         registered
+            && !self.must_confirm_presence()
             && self.reachability == Reachability::Reachable
             && !self.registration.draining
             && !self.cordoned
--- a/crates/core/src/job/scheduler/lease.rs
+++ b/crates/core/src/job/scheduler/lease.rs
@@ -57,6 +57,25 @@
         }
     }
 
+    /// Records that the registration of an endpoint has expired.
+    ///
+    /// After an outage of the store, the registrations of all endpoints expire at once, and
+    /// most endpoints have nothing left to run. One that was reachable is asked whether it
+    /// still is, and receives work again as soon as it replies.
+    pub fn expire_registration(&mut self, now: Instant, id: &str) {
+        let Some(&key) = self.endpoints_by_id.get(id) else {
+            return;
+        };
+        let endpoint = &mut self.endpoints[key];
+        if endpoint.reachability != Reachability::Reachable {
+            return self.set_endpoint_unregistered(now, id);
+        }
+        endpoint.unregistered_since.get_or_insert(now);
+        if endpoint.is_idle() {
+            endpoint.next_hold = endpoint.next_hold.min(now);
+        }
+    }
+
     fn has_left(&self, now: Instant, endpoint: &super::Endpoint) -> bool {
         let Some(since) = endpoint.unregistered_since else {
             return false;
@@ -65,7 +84,11 @@
             Reachability::Reachable => {
                 now.saturating_since(since) > UNREGISTERED_RETENTION
             }
-            Reachability::Unreachable(_) => now > endpoint.lease_bound,
+            // An endpoint that replied until its registration expired, and has nothing to
+            // run, needn't wait for the end of a lease.
+            Reachability::Unreachable(lost) => {
+                lost >= since || now > endpoint.lease_bound
+            }
             Reachability::Unknown => {
                 now.saturating_since(since) > self.options.inherited_bound
             }
--- a/crates/core/src/job/scheduler/order.rs
+++ b/crates/core/src/job/scheduler/order.rs
@@ -28,7 +28,8 @@
             .filter(|(_, endpoint)| {
                 let wanted = !endpoint.runs.is_empty()
                     || endpoint.last_processed_end > endpoint.confirmed_acknowledgement
-                    || endpoint.reachability != Reachability::Reachable;
+                    || endpoint.reachability != Reachability::Reachable
+                    || endpoint.must_confirm_presence();
                 endpoint.hold_sent_at.is_none() && wanted && now >= endpoint.next_hold
             })
             .map(|(key, _)| key)
--- a/crates/core/tests/job_store.rs
+++ b/crates/core/tests/job_store.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{Authority, Command, SaveOutcome};
+use rhubarbrill_core::time::Instant;
 
 mod job_support;
 
-use job_support::{CAPACITY, Simulation, configuration, spec, step};
+use job_support::{CAPACITY, Simulation, configuration, simulation, spec, step};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -108,3 +109,75 @@
     assert!(simulation.run_until_finished(&id, 3 * SECOND));
     assert_eq!(simulation.observed.starts.len(), 1);
 }
+
+/// Load pattern: 350 endpoints under constant load that keeps half of them busy, and an
+/// outage of 4.9 s in which the registrations of all endpoints expire. They return 1.1 s
+/// after the store. Guards against starts that wait for them or for pauses of the outage.
+#[test]
+fn starts_reach_the_full_rate_when_the_store_returns() {
+    let mut simulation = simulation(350);
+    let feed = |simulation: &mut Simulation, duration: Duration| {
+        let end = simulation.now + duration;
+        while simulation.now < end {
+            for _ in 0..3 {
+                simulation.submit("a", spec(vec![step(8, 4_000, 500)]));
+            }
+            simulation.run_for(SECOND / 100);
+        }
+    };
+    feed(&mut simulation, SECOND);
+    let steady = simulation.now;
+    feed(&mut simulation, SECOND);
+    simulation.store_available = false;
+    simulation.run_for(SECOND * 11 / 10);
+    simulation.authority = Authority::HoldOnly;
+    simulation.run_for(SECOND * 38 / 10);
+    let returned = simulation.now;
+    simulation.store_available = true;
+    simulation.authority = Authority::Certain;
+    let reports: Vec<_> = simulation
+        .endpoints
+        .values()
+        .map(|e| e.report.clone())
+        .collect();
+    for report in &reports {
+        simulation
+            .scheduler
+            .expire_registration(returned, &report.id);
+    }
+    feed(&mut simulation, SECOND * 11 / 10);
+    for report in &reports {
+        simulation
+            .scheduler
+            .set_endpoint(simulation.now, report.clone());
+    }
+    feed(&mut simulation, SECOND);
+    let count = |from: Instant, duration: Duration| {
+        let starts = simulation.observed.starts.iter();
+        starts
+            .filter(|(at, ..)| *at >= from && *at < from + duration)
+            .count()
+    };
+    assert!(
+        count(returned, SECOND * 3 / 10) > 0,
+        "nothing starts within 0.3 s"
+    );
+    let healthy = count(steady, SECOND / 2);
+    let resumed = count(returned + SECOND / 2, SECOND / 2);
+    assert!(resumed * 10 >= healthy * 9, "{resumed} starts of {healthy}");
+}
+
+/// A host disappears while it is idle, and its registration expires. Guards against starts
+/// that are sent to it because it was reachable before.
+#[test]
+fn idle_endpoint_whose_registration_expired_must_reply_before_it_gets_work() {
+    let mut simulation = simulation(2);
+    let (id, _) = simulation.endpoints.pop_first().expect("there are two");
+    simulation
+        .scheduler
+        .expire_registration(simulation.now, &id);
+    simulation.submit("a", spec(vec![step(8, 4_000, 500)]));
+    simulation.run_for(SECOND);
+    assert_eq!(simulation.observed.starts.len(), 8);
+    assert_eq!(simulation.observed.starts_at_removed_endpoints, 0);
+}
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -505,7 +505,7 @@
             .partition(|(at, _)| *at <= now);
         self.expiring_registrations = remaining;
         for (_, report) in due {
-            self.scheduler.set_endpoint_unregistered(now, &report.id);
+            self.scheduler.expire_registration(now, &report.id);
         }
     }
 
--- a/crates/dispatch/src/lead/registrations.rs
+++ b/crates/dispatch/src/lead/registrations.rs
@@ -59,7 +59,7 @@
 
     fn remove_endpoint(&mut self, scheduler: &mut Scheduler, key: &str) {
         if let Some(id) = self.endpoints.remove(key) {
-            scheduler.set_endpoint_unregistered(clock::now(), &id);
+            scheduler.expire_registration(clock::now(), &id);
         }
     }
 
