Hand over when the leader alone is turned away by the store

Switch hand-over: entry hosts write their internal addresses under rhubarbrill/shared/entry/. A leader whose renewals fail for 400 ms asks two of them whether they reach the store; if one does, the term ends and that host ends the lease, provided that the leader's record still has the revision in the message. Each question is logged with its inputs (event 239).

Two races at the store's return, found by the tests, are closed: - Another candidate won in one of 8 outages with 8 entry hosts (first start after 231 ms, in another term): candidates that have just been without the store wait 250 ms longer. - In 2 of 6 silent outages another host reached the store just before the leader did, so that it handed over (first start after 688 and 706 ms): after an answer that nobody reaches the store, one positive answer doesn't count.

--- a/crates/dispatch/src/front.rs
+++ b/crates/dispatch/src/front.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod forwarding;
+pub(crate) mod hand_over;
 mod request;
 mod status;
 mod submit;
--- a/crates/dispatch/src/front/forwarding.rs
+++ b/crates/dispatch/src/front/forwarding.rs
@@ -188,7 +188,7 @@
     json(&StateReply { state })
 }
 
-fn json<T: Serialize>(value: &T) -> Answer {
+pub(super) fn json<T: Serialize>(value: &T) -> Answer {
     match serde_json::to_vec(value) {
         Ok(body) => Answer::new(StatusCode::OK, "forwarded").with_body(body),
         Err(error) => Answer::new(
--- a/crates/dispatch/src/front/status.rs
+++ b/crates/dispatch/src/front/status.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use tokio_util::sync::CancellationToken;
 
-use super::{Answer, forwarding};
+use super::{Answer, forwarding, hand_over};
 use crate::listener::Listener;
 use crate::node::Node;
 use crate::platform::{Bodies, Platform};
@@ -39,7 +39,12 @@
                 return metrics(&node).into_response("text/plain; version=0.0.4");
             }
             let unknown = || Answer::new(StatusCode::NOT_FOUND, "no such path");
-            let answer = forwarding::answer(&node, request).await;
+            let (method, path) =
+                (request.method().clone(), request.uri().path().to_owned());
+            let answer = match hand_over::answer(&node, &method, &path, request).await {
+                Ok(answer) => Some(answer),
+                Err(request) => forwarding::answer(&node, request).await,
+            };
             answer
                 .unwrap_or_else(unknown)
                 .into_response("application/json")
--- a/crates/dispatch/src/key.rs
+++ b/crates/dispatch/src/key.rs
@@ -35,6 +35,8 @@
     Term,
     /// Number of jobs that wait in each queue.
     Pending,
+    /// Internal address of an entry host, by its name.
+    Entry(String),
     /// State of a job that has started, by job ID.
     State(String),
     /// Cancellation of a job, by job ID.
@@ -59,6 +61,11 @@
     format!("{SHARED_PREFIX}cancel/{id}")
 }
 
+/// Returns the key of an entry host's internal address.
+pub fn entry(name: &str) -> String {
+    format!("{SHARED_PREFIX}entry/{name}")
+}
+
 /// Returns the key of a submitted job.
 pub fn job(id: &str) -> String {
     format!("{JOBS_PREFIX}{id}")
@@ -86,6 +93,7 @@
             None if rest == "pending" => Some(Key::Pending),
             Some(("state", id)) => Some(Key::State(id.to_owned())),
             Some(("cancel", id)) => Some(Key::Cancellation(id.to_owned())),
+            Some(("entry", name)) => Some(Key::Entry(name.to_owned())),
             _ => None,
         };
     }
--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -3,6 +3,7 @@
 
 mod authority;
 mod election;
+mod hand_over;
 mod hosts;
 mod notes;
 mod orders;
--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -7,6 +7,7 @@
 
 use rhubarbrill_core::job::leader::{Leader, Vacancy};
 use rhubarbrill_core::job::scheduler::Term;
+use rhubarbrill_core::time::Instant;
 use uuid::Uuid;
 
 use super::authority::LeaseValidity;
@@ -38,6 +39,14 @@
 /// Additional delay of a candidate without any CPU share.
 const MAX_LOW_CPU_DELAY: Duration = Duration::from_millis(800);
 
+/// Additional delay of a candidate that couldn't reach the store until a moment ago. The
+/// leader may not have reached it either, and continues its term under a new lease: it
+/// tries each 100 ms, and each try takes three calls.
+const RECLAIM_DELAY: Duration = Duration::from_millis(250);
+
+/// Time after an outage of the store during which candidates wait for [`RECLAIM_DELAY`].
+const RECLAIM_WINDOW: Duration = Duration::from_secs(1);
+
 /// Age of the view above which a process doesn't run for election.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
 
@@ -80,7 +89,12 @@
         nonce: Uuid::new_v4().to_string(),
         address: Some(node.settings.internal),
     };
+    let mut last_outage = None;
     while !node.stopping.is_cancelled() {
+        let now = clock::now();
+        if node.store_contact.borrow().is_lost(now) {
+            last_outage = Some(now);
+        }
         let check = tokio::time::timeout(CHECK_INTERVAL, node.changed.notified());
         tokio::select! {
             // Check after a change as well as after the timeout.
@@ -91,7 +105,9 @@
             continue;
         };
         if vacancy == Vacancy::NoLeader {
-            let delay = stagger(&own.nonce) + low_cpu_delay(node.settings.cpu);
+            let delay = stagger(&own.nonce)
+                + low_cpu_delay(node.settings.cpu)
+                + reclaim_delay(last_outage);
             tokio::time::sleep(delay).await;
             if find_vacancy(&node, &own) != Some(vacancy) {
                 continue;
@@ -123,6 +139,17 @@
     Duration::from_millis(hasher.finish() % MAX_STAGGER_MS)
 }
 
+/// Returns how long a candidate lets a leader that lost its lease in an outage go first.
+fn reclaim_delay(last_outage: Option<Instant>) -> Duration {
+    let is_recent =
+        last_outage.is_some_and(|at| clock::now().saturating_since(at) < RECLAIM_WINDOW);
+    if is_recent {
+        RECLAIM_DELAY
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Returns how long a candidate with little CPU lets candidates with more CPU go first.
 fn low_cpu_delay(cpu: f64) -> Duration {
     let missing = 1.0 - (cpu / FULL_CPU).clamp(0.0, 1.0);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod node;
 pub mod platform;
+mod presence;
 mod process;
 pub mod settings;
 mod store_call;
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
+use rhubarbrill_core::job::Feature;
 use rhubarbrill_event::Event;
 use slog::{Logger, o};
 use tokio::task::LocalSet;
@@ -15,7 +16,7 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::settings::Settings;
-use crate::{event, lead, sync};
+use crate::{event, lead, presence, sync};
 
 /// Maximum number of connections of callers, far below the limit on file descriptors of
 /// the hosts.
@@ -81,6 +82,10 @@
     tokio::task::spawn_local(serve_readiness(Rc::clone(&node), readiness));
     tokio::task::spawn_local(serve_internal(Rc::clone(&node), internal));
     let campaign = tokio::task::spawn_local(lead::campaign(Rc::clone(&node)));
+    let hands_over = node.settings.features.contains(Feature::HandOver);
+    if hands_over {
+        tokio::task::spawn_local(presence::publish(Rc::clone(&node)));
+    }
     let closing = CancellationToken::new();
     let open = tokio::task::spawn_local(serve_callers(
         Rc::clone(&node),
@@ -92,6 +97,9 @@
     // The leadership ends first, so that another process takes over while open requests
     // finish here.
     campaign.await.wrap_err("the leader's task failed")?;
+    if hands_over {
+        presence::withdraw(&node).await;
+    }
     tokio::time::sleep(UNREADY_PAUSE).await;
     closing.cancel();
     let open = open.await.wrap_err("the listener's task failed")?;
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -1,6 +1,7 @@
 //! The local view of the store, which every process keeps up to date with watches.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use rhubarbrill_core::job::leader::Leader;
@@ -27,6 +28,13 @@
     pub queues: BTreeMap<String, usize>,
 }
 
+/// The record of an entry host.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryRecord {
+    /// Address that accepts calls of other entry hosts.
+    pub address: SocketAddr,
+}
+
 /// A value with the store revision of its last change.
 #[derive(Clone, Debug)]
 pub struct Versioned<T> {
@@ -78,6 +86,8 @@
     pub pending: Pending,
     /// Requested waves, by wave number.
     pub waves: BTreeMap<u64, Wave>,
+    /// Records of entry hosts, by name. An entry host that failed may still have one.
+    pub entries: BTreeMap<String, EntryRecord>,
     operators: SectionProgress,
     shared: SectionProgress,
     states: HashMap<String, State>,
@@ -200,6 +210,9 @@
             Some(Key::Cancellation(id)) => {
                 self.cancelled.remove(&id);
             }
+            Some(Key::Entry(name)) => {
+                self.entries.remove(&name);
+            }
             Some(
                 Key::Job(_)
                 | Key::Orders
@@ -233,6 +246,12 @@
                 Ok(value) => self.term = Some(Versioned { value, revision }),
                 Err(reason) => return Some(reason),
             },
+            Key::Entry(name) => match decode(value) {
+                Ok(value) => {
+                    self.entries.insert(name, value);
+                }
+                Err(reason) => return Some(reason),
+            },
             Key::Pending => match decode(value) {
                 Ok(value) => self.pending = value,
                 Err(reason) => return Some(reason),
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -118,6 +118,9 @@
     TermReclaimed = 238, Info,
         "The leader's lease expired while no other process could replace it, and the leader continues its term under a new lease.",
         "Nothing after an outage of the store.";
+    HandOverChecked = 239, Warning,
+        "The leader's lease renewals fail, so it asked other entry hosts whether they reach the store. If one does, the leader ends its term.",
+        "If the leader has handed over, check its link to the store; otherwise check the store.";
     PeerUp = 300, Info,
         "A peer responds to heartbeats.", "Nothing.";
     PeerDown = 301, Warning,
--- a/crates/rhubarbrilld/tests/support/jobs.rs
+++ b/crates/rhubarbrilld/tests/support/jobs.rs
@@ -1,5 +1,6 @@
 //! Entry host processes that run jobs on a stand-in for the users' platform.
 
+use std::ffi::OsStr;
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -45,7 +46,7 @@
     }
 
     /// Starts an entry host that reaches the store at `store`, without waiting until it
-    /// is ready.
+    /// is ready. If the folder has a file `features.ini`, it switches features on.
     pub fn launch(
         folder: &Folder,
         users: &UserPlatform,
@@ -60,8 +61,15 @@
             .append(true)
             .open(folder.path().join(format!("{name}.log")))
             .unwrap();
+        let features = folder.path().join("features.ini");
+        let features = features.exists().then_some(features);
         let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrilld"))
             .arg("--platform")
+            .args(
+                features
+                    .iter()
+                    .flat_map(|path| [OsStr::new("--features"), path.as_os_str()]),
+            )
             .env(SETTINGS_PATH_VARIABLE, path)
             .stdout(Stdio::from(log))
             .stderr(Stdio::inherit())
--- a/crates/standin/src/users.rs
+++ b/crates/standin/src/users.rs
@@ -242,6 +242,13 @@
         Some(record["name"].as_str()?.to_owned())
     }
 
+    /// Returns the ID of the lease of the leader's record; 0 if there is no record.
+    pub fn leader_lease(&self) -> u64 {
+        let state = self.shared.lock();
+        let record = state.items.get("rhubarbrill/shared/leader");
+        record.map_or(0, |record| record.lease)
+    }
+
     /// Returns the value of a key in the store.
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         self.shared.lock().value(key)
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -95,10 +95,13 @@
             if after < state.compact_revision {
                 return Some((StatusCode::GONE, Value::Null));
             }
-            let events: Vec<Value> = state
+            // The history is in the order of revisions.
+            let first = state
                 .history
+                .partition_point(|(revision, ..)| *revision <= after);
+            let events: Vec<Value> = state.history[first..]
                 .iter()
-                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
+                .filter(|(_, key, _)| key.starts_with(prefix))
                 .map(|(revision, key, item)| match item {
                     Some(item) => State::item_json(key, item),
                     None => json!({"key": key, "revision": revision, "deleted": true}),
