Don't hold the stand-in's lock in a silent watch

Clippy rejects the guard across an await point; the fault is read before the lock is taken for the watch. All tests of the platform, dispatch, stand-in, event and rhubarbrilld packages pass with this state (three test threads).

--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -82,16 +82,16 @@
     let wait = Duration::from_millis(call.query("wait-ms").parse().unwrap_or(0));
     let deadline = Instant::now() + wait;
     loop {
+        let store_fault = shared.lock().store_fault;
+        if store_fault == StoreFault::Silent {
+            return std::future::pending().await;
+        }
         {
             let mut state = shared.lock();
             state.expire_leases();
             if state.store_fault == StoreFault::Unavailable {
                 return Some((StatusCode::SERVICE_UNAVAILABLE, Value::Null));
             }
-            if state.store_fault == StoreFault::Silent {
-                drop(state);
-                return std::future::pending().await;
-            }
             if after < state.compact_revision {
                 return Some((StatusCode::GONE, Value::Null));
             }
