--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -4,11 +4,14 @@
 mod authority;
 mod election;
 mod evacuation;
+mod hand_over;
 mod hosts;
 mod notes;
 mod orders;
+mod record;
 mod recovery;
 mod registrations;
+mod renewal;
 mod save;
 mod stall;
 mod takeover;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod node;
 pub mod platform;
+mod presence;
 mod process;
 pub mod settings;
 mod store_call;
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -22,6 +22,9 @@
     if store_fault == StoreFault::Unavailable {
         return Some((StatusCode::SERVICE_UNAVAILABLE, Value::Null));
     }
+    if store_fault == StoreFault::Silent {
+        return std::future::pending().await;
+    }
     if let StoreFault::Delayed(delay_ms) = store_fault {
         tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     }
@@ -79,6 +82,10 @@
     let wait = Duration::from_millis(call.query("wait-ms").parse().unwrap_or(0));
     let deadline = Instant::now() + wait;
     loop {
+        let store_fault = shared.lock().store_fault;
+        if store_fault == StoreFault::Silent {
+            return std::future::pending().await;
+        }
         {
             let mut state = shared.lock();
             state.expire_leases();
@@ -92,10 +99,13 @@
             if !is_silent && after < state.compact_revision {
                 return Some((StatusCode::GONE, Value::Null));
             }
-            let events: Vec<Value> = state
+            // The history is in the order of revisions.
+            let first = state
                 .history
+                .partition_point(|(revision, ..)| *revision <= after);
+            let events: Vec<Value> = state.history[first..]
                 .iter()
-                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
+                .filter(|(_, key, _)| key.starts_with(prefix))
                 .map(|(revision, key, item)| match item {
                     Some(item) => State::item_json(key, item),
                     None => json!({"key": key, "revision": revision, "deleted": true}),
