Serve the feasible set of a pool's jobs first

Cause: in overload each job starts at the last moment, and whatever delays it then makes it late. Estimates that are too low hide this, jobs that are dropped take the capacity that the next step of another job needs, and begun jobs that can't end on time go first.

Change: the module feasibility goes through the jobs by deadline (Moore-Hodgson) with run times learned by queue. Jobs outside the set use what the set and the expected arrivals leave. The largest tenth of each queue keeps its share of starts. Everything takes effect with the switch admission only.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -22,11 +22,13 @@
 mod balance;
 mod capacity;
 mod event;
+mod feasibility;
 mod finish;
 mod forecast;
 mod hosts;
 mod inherit;
 mod intake;
+mod largest;
 mod lease;
 mod listing;
 mod order;
@@ -237,6 +239,7 @@
     permissions: permission::Permissions,
     submission_rates: submission_rate::SubmissionRates,
     run_time_ratios: straggler::RunTimeRatios,
+    feasibility: feasibility::Feasibility,
     events: Vec<SchedulerEvent>,
 }
 
@@ -268,6 +271,7 @@
             permissions: permission::Permissions::default(),
             submission_rates: submission_rate::SubmissionRates::default(),
             run_time_ratios: straggler::RunTimeRatios::default(),
+            feasibility: feasibility::Feasibility::default(),
             events: Vec::new(),
         }
     }
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -1,5 +1,7 @@
 //! Events of the scheduler, for the log.
 
+use std::time::Duration;
+
 use crate::job::{Resource, RunEnd, TaskName};
 
 /// A scheduling decision, or a change in the leader's view of runs and endpoints.
@@ -69,6 +71,23 @@
         /// Why the run is considered gone.
         reason: &'static str,
     },
+    /// A job left the feasible set of its pool.
+    Excluded {
+        /// Identity of the job.
+        job: String,
+        /// Pool that serves the job.
+        pool: String,
+        /// Duration of the longest chain of unfinished steps.
+        path: Duration,
+        /// Time until the job is late.
+        left: Duration,
+        /// Time for which the remaining work occupies the whole pool.
+        occupancy: Duration,
+        /// Capacity of the pool.
+        capacity: Resource,
+        /// Why the job left.
+        reason: &'static str,
+    },
     /// A job is finished.
     Finished {
         /// Identity of the job.
--- /dev/null
+++ b/crates/core/src/job/scheduler/feasibility.rs
@@ -0,0 +1,531 @@
+//! The feasible set: the waiting jobs of each pool that can all end on time.
+//!
+//! A pool that is asked for more than it holds makes every job late if it serves them all.
+//! The jobs are therefore gone through by their deadlines, with the work of each measured
+//! as the time for which it would occupy the whole pool. Where the sum exceeds the time
+//! left, the job with the most remaining work is dropped (Moore-Hodgson), so that the
+//! most jobs end on time. Dropped jobs and late ones only use capacity that the jobs in
+//! the set and those that are expected to arrive leave.
+
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::Duration;
+
+use super::hosts::HostState;
+use super::largest::{LargestJobs, Sized};
+use super::rank::{self, Class, Rank};
+use super::{Scheduler, SchedulerEvent};
+use crate::job::live::Job;
+use crate::job::{Feature, JobKey, Resource, State, TaskRef};
+use crate::time::Instant;
+
+/// Number of runs after which the run times of a queue are known.
+const MIN_RUNS: u64 = 8;
+
+/// Divisor that gives the weight of the newest run in the moving averages.
+const RUN_WEIGHT: u64 = 16;
+
+/// Largest run time that is learned from, in percent of its estimate. Longer runs are
+/// stragglers.
+const MAX_RUN_TIME_PERCENT: u64 = 400;
+
+/// Mean deviations by which the longest task of a step exceeds the mean.
+const STEP_DEVIATIONS: u64 = 2;
+
+/// Divisor that gives the time to spare with which a job must begin, from the duration of
+/// its longest chain of steps.
+const MARGIN_DIVISOR: u32 = 8;
+
+/// Time that passes between the end of a step's last task and the start of the next step's
+/// last task in a full pool.
+const STEP_DELAY: Duration = Duration::from_millis(200);
+
+/// Share of a pool's capacity that placement fills, in percent.
+const FILL_PERCENT: u64 = 95;
+
+/// Share of a pool's capacity that is divided between expected jobs and those outside the
+/// feasible set, in percent. The rest allows for uneven arrivals.
+const LEFTOVER_PERCENT: u64 = 90;
+
+/// The feasible set and what it is computed from.
+#[derive(Debug, Default)]
+pub(super) struct Feasibility {
+    /// Jobs outside the set.
+    excluded: BTreeMap<JobKey, Exclusion>,
+    /// Tasks of these jobs start first, since the set has room for them only then.
+    tight: BTreeSet<JobKey>,
+    /// Capacity that jobs outside the set may still occupy, by pool.
+    leftover: BTreeMap<String, Resource>,
+    run_times: BTreeMap<String, RunTimes>,
+    largest_jobs: LargestJobs,
+}
+
+/// Why a job is outside the feasible set.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Exclusion {
+    /// It hasn't begun, and the pool can't serve it in time.
+    Waiting,
+    /// It began with capacity that the feasible set left, and goes on with it.
+    Leftover,
+    /// It began in the set and is expected to end late.
+    Overdue,
+}
+
+impl Exclusion {
+    /// Returns the text used in logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Waiting => "the pool can't serve it in time",
+            Self::Leftover => "it began outside the feasible set",
+            Self::Overdue => "it began and is expected to end late",
+        }
+    }
+}
+
+/// Run times of a queue's tasks, in percent of their estimates.
+#[derive(Clone, Copy, Debug)]
+struct RunTimes {
+    mean: u64,
+    deviation: u64,
+    runs: u64,
+}
+
+impl Feasibility {
+    /// Learns from a run that succeeded.
+    pub(super) fn learn_run_time(&mut self, queue: &str, percent: u64) {
+        let percent = percent.min(MAX_RUN_TIME_PERCENT);
+        let first = RunTimes {
+            mean: percent,
+            deviation: 0,
+            runs: 0,
+        };
+        let known = self.run_times.entry(queue.to_owned()).or_insert(first);
+        let deviation = known.mean.abs_diff(percent);
+        known.deviation = (known.deviation * (RUN_WEIGHT - 1) + deviation) / RUN_WEIGHT;
+        known.mean = (known.mean * (RUN_WEIGHT - 1) + percent) / RUN_WEIGHT;
+        known.runs += 1;
+    }
+
+    /// Returns the mean factor of all queues, and at least 100.
+    fn mean_percent(&self) -> u64 {
+        let sum: u64 = self.run_times.values().map(|known| known.mean).sum();
+        let count = self.run_times.len() as u64;
+        sum.checked_div(count).unwrap_or(0).max(100)
+    }
+
+    /// Returns the factors of a queue.
+    fn factors(&self, queue: &str) -> Factors {
+        let known = self.run_times.get(queue);
+        known
+            .filter(|known| known.runs >= MIN_RUNS)
+            .map_or(Factors::ESTIMATE, |known| Factors {
+                mean: known.mean,
+                step: known.mean + STEP_DEVIATIONS * known.deviation,
+            })
+    }
+}
+
+/// Factors by which run times differ from their estimates, in percent.
+#[derive(Clone, Copy, Debug)]
+struct Factors {
+    /// Mean of all tasks.
+    mean: u64,
+    /// The longest task of a step.
+    step: u64,
+}
+
+impl Factors {
+    /// The factors of a queue whose run times aren't known.
+    const ESTIMATE: Self = Self {
+        mean: 100,
+        step: 100,
+    };
+}
+
+/// What is left of a job.
+#[derive(Clone, Copy, Debug)]
+struct Remaining {
+    /// Duration of the longest chain of steps, by the longest task of each.
+    path: Duration,
+    /// Number of steps that have tasks without a run.
+    steps: u32,
+    /// Resources times the milliseconds for which they are busy.
+    work: Resource,
+}
+
+/// A job that may end on time.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    deadline: Instant,
+    key: JobKey,
+    /// Time for which the job's remaining work occupies the whole pool.
+    occupancy: Duration,
+    /// Longest time that may pass before the next task starts.
+    spare: Duration,
+    /// Whether the job has less time to spare than a full pool may take from it.
+    tight: bool,
+    /// Whether the job may be dropped.
+    droppable: bool,
+}
+
+impl Scheduler {
+    /// Decides which jobs of each pool can end on time.
+    pub(super) fn update_feasible_set(&mut self, now: Instant) {
+        if !self.has_feature(Feature::Admission) {
+            return;
+        }
+        self.count_largest_jobs(now);
+        let capacities = self.pool_capacities(now);
+        let mut candidates: BTreeMap<String, Vec<Candidate>> = BTreeMap::new();
+        let mut excluded = BTreeMap::new();
+        let mut tight = BTreeSet::new();
+        for (key, job) in &self.jobs {
+            if job.state.is_final() || rank::rank(job, now).class != Class::InTime {
+                continue;
+            }
+            let pool = self.pool_of(&job.record);
+            let capacity = capacities.get(pool).copied().unwrap_or_default();
+            match self.candidate(now, key, job, &capacity) {
+                Ok(candidate) => {
+                    candidates
+                        .entry(pool.to_owned())
+                        .or_default()
+                        .push(candidate);
+                }
+                Err(exclusion) => {
+                    excluded.insert(key, exclusion);
+                }
+            }
+        }
+        let expected = self.expected_capacities(now, &capacities);
+        for (pool, list) in &mut candidates {
+            list.sort_unstable_by_key(|candidate| (candidate.deadline, candidate.key));
+            self.protect_largest(list);
+            let capacity = capacities.get(pool).copied().unwrap_or_default();
+            let expected = expected.get(pool).copied().unwrap_or_default();
+            let is_scarce = !expected.is_at_most(&capacity);
+            let dropped = dropped(now, list, is_scarce);
+            excluded.extend(dropped.into_iter().map(|key| (key, Exclusion::Waiting)));
+            let kept = list.iter().filter(|candidate| candidate.tight);
+            tight.extend(kept.map(|candidate| candidate.key));
+        }
+        self.note_exclusions(now, &excluded, &capacities);
+        self.feasibility.excluded = excluded;
+        self.feasibility.tight = tight;
+        self.feasibility.leftover = self.leftovers(now, capacities, &expected);
+    }
+
+    /// Notes the jobs that leave the feasible set.
+    fn note_exclusions(
+        &mut self,
+        now: Instant,
+        excluded: &BTreeMap<JobKey, Exclusion>,
+        capacities: &BTreeMap<String, Resource>,
+    ) {
+        for (&key, exclusion) in excluded {
+            if self.feasibility.excluded.contains_key(&key) {
+                continue;
+            }
+            let job = &self.jobs[key];
+            let pool = self.pool_of(&job.record).to_owned();
+            let capacity = capacities.get(&pool).copied().unwrap_or_default();
+            let remaining = self.remaining(now, job);
+            self.events.push(SchedulerEvent::Excluded {
+                job: job.id.clone(),
+                path: remaining.path,
+                left: deadline(job).saturating_since(now),
+                occupancy: occupancy(&remaining.work, &capacity),
+                capacity,
+                pool,
+                reason: exclusion.as_str(),
+            });
+        }
+    }
+
+    /// Returns the rank of a job with its class by the feasible set.
+    pub(super) fn feasible_rank(&self, key: JobKey, mut rank: Rank) -> Rank {
+        if self.feasibility.excluded.contains_key(&key) {
+            rank.class = Class::Infeasible;
+        } else if self.feasibility.tight.contains(&key) {
+            rank.raise_headway();
+        }
+        rank
+    }
+
+    /// Limits the tasks of a job outside the feasible set to the capacity that is left for
+    /// such jobs.
+    pub(super) fn limit_leftover_tasks(
+        &mut self,
+        rank: Rank,
+        pool: &str,
+        waiting: &mut Vec<TaskRef>,
+    ) {
+        let is_limited = matches!(
+            rank.class,
+            Class::Infeasible | Class::OverSubmissionRate | Class::Late
+        );
+        let Some(&first) = waiting.first() else {
+            return;
+        };
+        if !is_limited || !self.has_feature(Feature::Admission) {
+            return;
+        }
+        let reserved = self.step(first).reserved();
+        let leftover = self
+            .feasibility
+            .leftover
+            .entry(pool.to_owned())
+            .or_default();
+        let fitting = waiting.iter().take_while(|_| {
+            let fits = reserved.is_at_most(leftover);
+            if fits {
+                leftover.subtract(&reserved);
+            }
+            fits
+        });
+        let count = fitting.count();
+        waiting.truncate(count);
+    }
+
+    /// Returns the capacity of each pool that serves jobs or is about to.
+    fn pool_capacities(&self, now: Instant) -> BTreeMap<String, Resource> {
+        let mut capacities: BTreeMap<String, Resource> = BTreeMap::new();
+        for endpoint in self.endpoints.values() {
+            if endpoint.accepts_work(now) {
+                let pool = endpoint.registration.pool.clone();
+                let capacity = capacities.entry(pool).or_default();
+                capacity.add(&endpoint.registration.capacity);
+            }
+        }
+        for host in self.hosts.list.values() {
+            let order = self.hosts.move_orders.get(&host.name);
+            if order.is_some() || host.state == HostState::Moving {
+                let pool = order.map_or(&host.pool, |order| &order.pool);
+                capacities
+                    .entry(pool.clone())
+                    .or_default()
+                    .add(&host.capacity);
+            }
+        }
+        capacities
+    }
+
+    /// Returns a job as a candidate for the feasible set, or why it is none.
+    fn candidate(
+        &self,
+        now: Instant,
+        key: JobKey,
+        job: &Job,
+        capacity: &Resource,
+    ) -> Result<Candidate, Exclusion> {
+        let begun = job.state != State::Queued;
+        let exclusion = self.feasibility.excluded.get(&key);
+        if begun && exclusion.is_some_and(|known| *known != Exclusion::Overdue) {
+            return Err(Exclusion::Leftover);
+        }
+        let remaining = self.remaining(now, job);
+        let deadline = deadline(job);
+        let left = deadline.saturating_since(now);
+        let (margin, exclusion) = if begun {
+            (Duration::ZERO, Exclusion::Overdue)
+        } else {
+            let margin = remaining.path / MARGIN_DIVISOR + STEP_DELAY * remaining.steps;
+            (margin, Exclusion::Waiting)
+        };
+        let spare = left.checked_sub(remaining.path).ok_or(exclusion)?;
+        Ok(Candidate {
+            deadline,
+            key,
+            occupancy: occupancy(&remaining.work, capacity),
+            spare,
+            tight: spare < margin,
+            droppable: !begun,
+        })
+    }
+
+    fn count_largest_jobs(&mut self, now: Instant) {
+        let jobs = self.jobs.iter();
+        let timely = jobs.filter(|(_, job)| {
+            !job.state.is_final() && rank::rank(job, now).class == Class::InTime
+        });
+        let sized = timely.map(|(key, job)| {
+            let sized = Sized {
+                key,
+                work: estimated_work(job),
+                begun: job.state != State::Queued,
+            };
+            (job.record.queue.as_str(), sized)
+        });
+        self.feasibility.largest_jobs.update(sized);
+    }
+
+    /// Exempts the first jobs of the largest tenth of each queue from being dropped, as far
+    /// as their share requires. `candidates` is ordered by deadline.
+    fn protect_largest(&self, candidates: &mut [Candidate]) {
+        let largest_jobs = &self.feasibility.largest_jobs;
+        let mut missing = largest_jobs.missing();
+        for candidate in candidates
+            .iter_mut()
+            .filter(|candidate| candidate.droppable)
+        {
+            let job = &self.jobs[candidate.key];
+            let queue = job.record.queue.as_str();
+            if let Some(missing) = missing.get_mut(queue).filter(|missing| **missing > 0)
+                && largest_jobs.is_largest(queue, estimated_work(job))
+            {
+                *missing -= 1;
+                candidate.droppable = false;
+            }
+        }
+    }
+
+    /// Returns what is left of a job, by the run times of its queue.
+    fn remaining(&self, now: Instant, job: &Job) -> Remaining {
+        let factors = self.feasibility.factors(&job.record.queue);
+        let mut remaining = Remaining {
+            path: Duration::ZERO,
+            steps: 0,
+            work: Resource::default(),
+        };
+        let Some(occurrence) = job.occurrences.values().next() else {
+            return remaining;
+        };
+        let mut ends: Vec<u64> = Vec::with_capacity(job.record.spec.steps.len());
+        for (step, group) in job.record.spec.steps.iter().zip(&occurrence.groups) {
+            let mean_ms = step.estimate_ms * factors.mean / 100;
+            let longest_ms = step.estimate_ms * factors.step / 100;
+            let (mut duration_ms, mut busy_ms, mut has_waiting) = (0, 0, false);
+            for task in group.tasks.iter().filter(|task| !task.done) {
+                let sent_at = task.runs.iter().map(|&run| self.runs[run].sent_at).min();
+                let elapsed =
+                    sent_at.map_or(Duration::ZERO, |at| now.saturating_since(at));
+                let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+                has_waiting |= task.runs.is_empty();
+                duration_ms = duration_ms.max(longest_ms.saturating_sub(elapsed_ms));
+                busy_ms += mean_ms.saturating_sub(elapsed_ms);
+            }
+            let earlier = step
+                .after
+                .iter()
+                .filter_map(|&step| ends.get(step as usize));
+            let start = earlier.copied().max().unwrap_or(0);
+            ends.push(start + duration_ms);
+            remaining.steps += u32::from(has_waiting);
+            remaining.work.add(&step.reserved().times(busy_ms));
+        }
+        remaining.path = Duration::from_millis(ends.into_iter().max().unwrap_or(0));
+        remaining
+    }
+
+    /// Returns the capacity that jobs which arrive at the present rate keep busy, by pool.
+    fn expected_capacities(
+        &mut self,
+        now: Instant,
+        capacities: &BTreeMap<String, Resource>,
+    ) -> BTreeMap<String, Resource> {
+        let percent = self.feasibility.mean_percent();
+        let mut expected = BTreeMap::new();
+        for pool in capacities.keys() {
+            let estimated = self.arrivals.expected(now, pool);
+            expected.insert(pool.clone(), estimated.percent(percent));
+        }
+        expected
+    }
+
+    /// Returns the capacity that jobs outside the feasible set may still occupy, by pool.
+    fn leftovers(
+        &self,
+        now: Instant,
+        capacities: BTreeMap<String, Resource>,
+        expected: &BTreeMap<String, Resource>,
+    ) -> BTreeMap<String, Resource> {
+        let mut leftovers = capacities;
+        for (pool, leftover) in &mut leftovers {
+            *leftover = leftover.percent(LEFTOVER_PERCENT);
+            leftover.subtract(&expected.get(pool).copied().unwrap_or_default());
+        }
+        for run in self.runs.values() {
+            let job = run
+                .task
+                .and_then(|task| Some((task.job, self.jobs.get(task.job)?)));
+            let Some((key, job)) = job else {
+                continue;
+            };
+            let class = self.feasible_rank(key, rank::rank(job, now)).class;
+            if class != Class::InTime
+                && let Some(leftover) = leftovers.get_mut(self.pool_of(&job.record))
+            {
+                leftover.subtract(&run.reserved);
+            }
+        }
+        leftovers
+    }
+}
+
+/// Returns the jobs that have to be dropped so that the others, ordered by deadline, can
+/// end on time.
+fn dropped(now: Instant, candidates: &[Candidate], is_scarce: bool) -> Vec<JobKey> {
+    let mut dropped = Vec::new();
+    let mut taken: BinaryHeap<(Duration, JobKey)> = BinaryHeap::new();
+    let mut total = Duration::ZERO;
+    for candidate in candidates.iter().filter(|candidate| !candidate.tight) {
+        total += candidate.occupancy;
+        if candidate.droppable {
+            taken.push((candidate.occupancy, candidate.key));
+        }
+        let available = candidate.deadline.saturating_since(now);
+        while total > available
+            && let Some((occupancy, key)) = taken.pop()
+        {
+            total -= occupancy;
+            dropped.push(key);
+        }
+    }
+    let waiting: Duration = taken.iter().map(|(occupancy, _)| *occupancy).sum();
+    let has_room = dropped.is_empty() && !is_scarce;
+    let tight = candidates.iter().filter(|candidate| candidate.tight);
+    let late = tight.filter(|candidate| !has_room || candidate.spare < waiting);
+    dropped.extend(late.map(|candidate| candidate.key));
+    dropped
+}
+
+/// Returns when the first open occurrence of a job becomes late.
+fn deadline(job: &Job) -> Instant {
+    let due_at = job.occurrences.values().next().and_then(|open| open.due_at);
+    due_at.unwrap_or(job.arrived_at) + job.parameters.late_after
+}
+
+/// Returns the work of a whole job by its estimates, in thousandths of a core times
+/// milliseconds.
+fn estimated_work(job: &Job) -> u64 {
+    let steps = job.record.spec.steps.iter();
+    let work =
+        steps.map(|step| u64::from(step.count) * step.demand.cpu * step.estimate_ms);
+    work.sum()
+}
+
+impl Resource {
+    /// Returns a share of an amount, in percent.
+    const fn percent(&self, percent: u64) -> Self {
+        Self {
+            cpu: self.cpu * percent / 100,
+            memory_mb: self.memory_mb * percent / 100,
+            gpu: self.gpu * percent / 100,
+        }
+    }
+}
+
+/// Returns the time for which work occupies the whole capacity of a pool, in the dimension
+/// that is scarcest.
+fn occupancy(work: &Resource, capacity: &Resource) -> Duration {
+    let in_dimension = |work: u64, capacity: u64| {
+        if work == 0 {
+            return 0;
+        }
+        let filled = (capacity * FILL_PERCENT / 100).max(1);
+        work.saturating_mul(1_000) / filled
+    };
+    let micros = in_dimension(work.cpu, capacity.cpu)
+        .max(in_dimension(work.memory_mb, capacity.memory_mb))
+        .max(in_dimension(work.gpu, capacity.gpu));
+    Duration::from_micros(micros)
+}
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -36,6 +36,7 @@
     pub(super) fn place(&mut self, now: Instant) {
         let mut open_pools = self.open_pools(now);
         self.unplaced.clear();
+        self.update_feasible_set(now);
         for (rank, key) in self.ranked_jobs(now) {
             self.place_job(now, key, rank, &mut open_pools);
         }
@@ -64,7 +65,8 @@
         let pool = self.pool_of(&self.jobs[key].record).to_owned();
         let open_pool = open_pools.entry(pool.clone()).or_default();
         for (occurrence, step) in self.ready_steps(key) {
-            let waiting = self.waiting_tasks(now, key, occurrence, step);
+            let mut waiting = self.waiting_tasks(now, key, occurrence, step);
+            self.limit_leftover_tasks(rank, &pool, &mut waiting);
             if waiting.is_empty() {
                 continue;
             }
@@ -75,7 +77,10 @@
             let placed = self.place_step(now, &waiting, open_pool);
             let left = &waiting[placed..];
             if let Some(&first) = left.first() {
-                if matches!(rank.class, Class::InTime | Class::LongRunning) {
+                if matches!(
+                    rank.class,
+                    Class::InTime | Class::Infeasible | Class::LongRunning
+                ) {
                     self.add_unplaced(&pool, first, left.len());
                 }
                 self.preempt(now, rank, left, &open_pool.endpoints);
--- a/crates/core/src/job/scheduler/preempt.rs
+++ b/crates/core/src/job/scheduler/preempt.rs
@@ -112,7 +112,7 @@
             Class::InTime => {
                 rank.latest_start.saturating_since(now) <= PREEMPTION_LEAD_TIME
             }
-            Class::OverSubmissionRate | Class::Late => false,
+            Class::Infeasible | Class::OverSubmissionRate | Class::Late => false,
         }
     }
 
--- a/crates/core/src/job/scheduler/rank.rs
+++ b/crates/core/src/job/scheduler/rank.rs
@@ -45,12 +45,22 @@
     LongRunning,
     /// Can still meet its deadline.
     InTime,
+    /// Could still meet its deadline, but the pool can't serve it in time beside the jobs
+    /// that it serves.
+    Infeasible,
     /// Exceeded its workspace's submission rate.
     OverSubmissionRate,
     /// Can no longer meet its deadline.
     Late,
 }
 
+impl Rank {
+    /// Orders a job that hasn't begun with those that have time to spare.
+    pub(super) fn raise_headway(&mut self) {
+        self.headway = self.headway.min(Headway::SpareTime);
+    }
+}
+
 impl Scheduler {
     /// Returns the unfinished jobs in the order in which their tasks start.
     pub(super) fn ranked_jobs(&self, now: Instant) -> Vec<(Rank, JobKey)> {
@@ -58,7 +68,7 @@
             .jobs
             .iter()
             .filter(|(_, job)| !job.state.is_final())
-            .map(|(key, job)| (rank(job, now), key))
+            .map(|(key, job)| (self.feasible_rank(key, rank(job, now)), key))
             .collect();
         jobs.sort_unstable();
         jobs
--- a/crates/core/src/job/scheduler/straggler.rs
+++ b/crates/core/src/job/scheduler/straggler.rs
@@ -72,6 +72,7 @@
         let percent = u64::try_from(took_ms).unwrap_or(u64::MAX) * 100 / estimate_ms;
         let queue = self.jobs[task.job].record.queue.clone();
         self.run_time_ratios.record(&queue, percent);
+        self.feasibility.learn_run_time(&queue, percent);
     }
 
     /// Stops stragglers or marks them for a duplicate run, at most once per task.
--- a/crates/core/tests/job_support/delivery.rs
+++ b/crates/core/tests/job_support/delivery.rs
@@ -143,8 +143,12 @@
     }
 
     pub(super) fn execute_start(&mut self, order: &Start) -> OrderOutcome {
-        let step = &self.records[&order.name.job].spec.steps[order.name.step as usize];
+        let steps = &self.records[&order.name.job].spec.steps;
+        let mut step = steps[order.name.step as usize].clone();
         let task = order.name.to_string();
+        if let Some(percent) = self.run_time_percents.get(&task) {
+            step.estimate_ms = step.estimate_ms * percent / 100;
+        }
         let id = &order.target.id;
         let endpoint = self
             .endpoints
@@ -159,7 +163,7 @@
             )
         });
         let outcome = if allowed {
-            endpoint.start(self.now, order, step)
+            endpoint.start(self.now, order, &step)
         } else {
             endpoint.reject(self.now, Rejection::NoPermission)
         };
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -49,6 +49,8 @@
 pub struct Observations {
     /// Starts that endpoints accepted, in order: time, task, run number, endpoint.
     pub starts: Vec<(Instant, String, u64, String)>,
+    /// Runs that succeeded, in order: time, task.
+    pub ends: Vec<(Instant, TaskName)>,
     /// Hosts that were moved: time, host, destination pool.
     pub moves: Vec<(Instant, String, String)>,
     /// Maintenance that began: time, host.
@@ -92,6 +94,8 @@
     pub policy: Option<Policy>,
     /// Number of pace orders that are still to be lost on their way to an endpoint.
     pub pace_orders_to_lose: usize,
+    /// Actual run time of each task in percent of its estimate, by name; 100 if absent.
+    pub run_time_percents: BTreeMap<String, u64>,
     /// Hosts being moved or maintained: end of the transition, pool, state.
     hosts_in_transition: BTreeMap<String, (Instant, String, HostState)>,
     /// Store revisions of job records, by job identity, and of progress, by `p` and job
@@ -240,6 +244,7 @@
             store_available: true,
             policy: None,
             pace_orders_to_lose: 0,
+            run_time_percents: BTreeMap::new(),
             hosts_in_transition: BTreeMap::new(),
             versions: BTreeMap::new(),
             revision: 100,
@@ -490,6 +495,8 @@
                 self.observed.longest_above_target.max(time_above);
             self.completed_tasks
                 .extend(completed.iter().map(TaskName::to_string));
+            let ends = completed.into_iter().map(|name| (now, name));
+            self.observed.ends.extend(ends);
             for start in due {
                 self.execute_start(&start);
             }
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -1,5 +1,7 @@
 //! Writes the scheduler's notes to the log.
 
+use std::time::Duration;
+
 use rhubarbrill_core::job::scheduler::SchedulerEvent;
 use rhubarbrill_core::job::{RunEnd, TaskName};
 use rhubarbrill_event::Event;
@@ -64,6 +66,26 @@
             endpoint,
             reason,
         } => event::log(out, Event::RunGone, run(&name, number, endpoint, reason)),
+        SchedulerEvent::Excluded {
+            job,
+            pool,
+            path,
+            left,
+            occupancy,
+            capacity,
+            reason,
+        } => {
+            let fields = o!(
+                "job" => job,
+                "pool" => pool,
+                "path_ms" => millis(path),
+                "left_ms" => millis(left),
+                "occupancy_ms" => millis(occupancy),
+                "capacity_cpu" => capacity.cpu,
+                "reason" => reason,
+            );
+            event::log(out, Event::JobInfeasible, fields);
+        }
         SchedulerEvent::Finished { job, state, reason } => {
             let state = format!("{state:?}");
             let fields = o!("job" => job, "state" => state, "reason" => reason);
@@ -160,3 +182,7 @@
         "reason" => reason,
     )
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -201,6 +201,17 @@
     SaveFailed = 720, Warning,
         "Progress could not be written to the store; the write is retried.",
         "Check the store if it repeats.";
+    JobInfeasible = 721, Info,
+        "A job is not expected to end on time; it runs with the capacity that others leave.",
+        "Add hosts to the pool if it repeats.";
+    JobNotAdmitted = 722, Info,
+        "A job was rejected at once, because its pool can't finish it while it is of use.",
+        "Add hosts to the pool if it repeats.";
+    EstimateWritten = 723, Info,
+        "The leader's estimate of the time until new jobs start was written.", "Nothing.";
+    SharesYielded = 724, Info,
+        "A pool is full, and workspaces above their share let others go first.",
+        "Check the weights of the workspaces if it repeats.";
 }
 
 impl Event {
