Reject jobs that can't end while they are of use

Cause: every job that the store takes is accepted, also if its pool can only start it after it has become useless to its caller.

Ruled out: a wait that counts all waiting jobs (not run: it would reject small jobs that can be on time). Reading nothing before a rejection: another entry host may have accepted the job (accepted_job_is_not_rejected_later fails without it).

Change: the leader writes rhubarbrill/shared/estimate (wait and room of each pool); entry hosts reject by it with 503 and a spread Retry-After, count what they reject, and accept without a valid estimate. The feasible set is computed once for all jobs of a round, and kept for 20 ms while no job is added or removed.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -6,6 +6,7 @@
 
 pub mod configuration;
 mod endpoint;
+pub mod estimate;
 mod feature;
 pub mod leader;
 mod live;
@@ -17,6 +18,7 @@
 
 pub use configuration::Configuration;
 pub use endpoint::{Endpoint, EndpointKey, Registration, Target};
+pub use estimate::Estimate;
 pub use feature::{Feature, Features};
 pub use live::{JobKey, TaskRef};
 pub use record::{Progress, Record, State, Submission};
--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -5,7 +5,7 @@
 
 use super::configuration::Queue;
 use super::record::{self, AssignedEndpoint, Progress};
-use super::{EndpointKey, Record, RunKey, State};
+use super::{EndpointKey, Record, RunKey, Spec, State};
 use crate::time::{Instant, Timestamp};
 
 slotmap::new_key_type! {
@@ -360,20 +360,27 @@
 impl QueueParameters {
     pub(super) fn new(record: &Record, queue: Option<&Queue>) -> Self {
         let chain_ms = record.spec.critical_path_ms();
-        let stretch = queue.map_or(1.0, |queue| queue.stretch);
-        let slack = queue.map_or(0, |queue| queue.target_latency.as_millis());
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_precision_loss,
-            clippy::cast_sign_loss,
-            reason = "a span in milliseconds is far below 2^52"
-        )]
-        let stretched = (chain_ms as f64 * stretch) as u64;
-        let late_after = stretched + u64::try_from(slack).unwrap_or(u64::MAX);
+        let late_after = queue.map_or(Duration::from_millis(chain_ms), |queue| {
+            objective(&record.spec, queue)
+        });
         Self {
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
             attempts: queue.map_or(1, |queue| queue.attempts).max(1),
-            late_after: Duration::from_millis(late_after),
+            late_after,
         }
     }
 }
+
+/// Returns the time after which a job of a queue is late.
+pub(super) fn objective(spec: &Spec, queue: &Queue) -> Duration {
+    let chain_ms = spec.critical_path_ms();
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "a span in milliseconds is far below 2^52"
+    )]
+    let stretched = (chain_ms as f64 * queue.stretch) as u64;
+    let slack_ms = u64::try_from(queue.target_latency.as_millis()).unwrap_or(u64::MAX);
+    Duration::from_millis(stretched + slack_ms)
+}
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -19,6 +19,7 @@
 };
 use crate::time::{Instant, Timestamp};
 
+mod backlog;
 mod balance;
 mod capacity;
 mod event;
--- a/crates/core/src/job/scheduler/feasibility.rs
+++ b/crates/core/src/job/scheduler/feasibility.rs
@@ -15,7 +15,7 @@
 use super::rank::{self, Class, Rank};
 use super::{Scheduler, SchedulerEvent};
 use crate::job::live::Job;
-use crate::job::{Feature, JobKey, Resource, State, TaskRef};
+use crate::job::{Feature, JobKey, Resource, State, Step, TaskRef};
 use crate::time::Instant;
 
 /// Number of runs after which the run times of a queue are known.
@@ -46,15 +46,23 @@
 /// feasible set, in percent. The rest allows for uneven arrivals.
 const LEFTOVER_PERCENT: u64 = 90;
 
+/// Time for which the set is used if no job is added or removed. Rounds follow each reply of
+/// an endpoint, and the set would double their cost.
+const MAX_SET_AGE: Duration = Duration::from_millis(20);
+
 /// The feasible set and what it is computed from.
 #[derive(Debug, Default)]
 pub(super) struct Feasibility {
+    /// When the set was computed, and for how many jobs.
+    updated: Option<(Instant, usize)>,
     /// Jobs outside the set.
     excluded: BTreeMap<JobKey, Exclusion>,
     /// Tasks of these jobs start first, since the set has room for them only then.
     tight: BTreeSet<JobKey>,
     /// Capacity that jobs outside the set may still occupy, by pool.
     leftover: BTreeMap<String, Resource>,
+    /// Time until a job that arrives now would start, by pool.
+    waits: BTreeMap<String, Duration>,
     run_times: BTreeMap<String, RunTimes>,
     largest_jobs: LargestJobs,
 }
@@ -112,6 +120,17 @@
         sum.checked_div(count).unwrap_or(0).max(100)
     }
 
+    /// Returns the time until a job that arrives now would start, by pool.
+    pub(super) fn waits(&self) -> impl Iterator<Item = (&str, Duration)> {
+        let waits = self.waits.iter();
+        waits.map(|(pool, wait)| (pool.as_str(), *wait))
+    }
+
+    /// Returns the mean run time of a step's tasks in milliseconds.
+    pub(super) fn mean_run_ms(&self, queue: &str, step: &Step) -> u64 {
+        step.estimate_ms * self.factors(queue).mean / 100
+    }
+
     /// Returns the factors of a queue.
     fn factors(&self, queue: &str) -> Factors {
         let known = self.run_times.get(queue);
@@ -170,18 +189,22 @@
 impl Scheduler {
     /// Decides which jobs of each pool can end on time.
     pub(super) fn update_feasible_set(&mut self, now: Instant) {
-        if !self.has_feature(Feature::Admission) {
+        if !self.has_feature(Feature::Admission) || self.is_feasible_set_fresh(now) {
             return;
         }
-        self.count_largest_jobs(now);
+        self.feasibility.updated = Some((now, self.jobs.len()));
+        let timely = self.timely_jobs(now);
+        self.count_largest_jobs(&timely);
         let capacities = self.pool_capacities(now);
         let mut candidates: BTreeMap<String, Vec<Candidate>> = BTreeMap::new();
         let mut excluded = BTreeMap::new();
         let mut tight = BTreeSet::new();
-        for (key, job) in &self.jobs {
-            if job.state.is_final() || rank::rank(job, now).class != Class::InTime {
-                continue;
-            }
+        // A pool without capacity gets hosts before it can be judged.
+        let pools = capacities.keys().cloned();
+        let mut waits: BTreeMap<_, _> =
+            pools.map(|pool| (pool, Duration::ZERO)).collect();
+        for &key in &timely {
+            let job = &self.jobs[key];
             let pool = self.pool_of(&job.record);
             let capacity = capacities.get(pool).copied().unwrap_or_default();
             match self.candidate(now, key, job, &capacity) {
@@ -204,6 +227,13 @@
             let expected = expected.get(pool).copied().unwrap_or_default();
             let is_scarce = !expected.is_at_most(&capacity);
             let dropped = dropped(now, list, is_scarce);
+            let waiting = list.iter().filter(|candidate| {
+                candidate.droppable && !dropped.contains(&candidate.key)
+            });
+            let wait = waiting.map(|candidate| candidate.occupancy).sum();
+            if let Some(known) = waits.get_mut(pool) {
+                *known = wait;
+            }
             excluded.extend(dropped.into_iter().map(|key| (key, Exclusion::Waiting)));
             let kept = list.iter().filter(|candidate| candidate.tight);
             tight.extend(kept.map(|candidate| candidate.key));
@@ -211,7 +241,15 @@
         self.note_exclusions(now, &excluded, &capacities);
         self.feasibility.excluded = excluded;
         self.feasibility.tight = tight;
-        self.feasibility.leftover = self.leftovers(now, capacities, &expected);
+        self.feasibility.waits = waits;
+        self.feasibility.leftover = self.leftovers(&timely, capacities, &expected);
+    }
+
+    /// Returns whether the set was computed a moment ago for the same number of jobs.
+    fn is_feasible_set_fresh(&self, now: Instant) -> bool {
+        self.feasibility.updated.is_some_and(|(at, jobs)| {
+            jobs == self.jobs.len() && now.saturating_since(at) < MAX_SET_AGE
+        })
     }
 
     /// Notes the jobs that leave the feasible set.
@@ -342,12 +380,18 @@
         })
     }
 
-    fn count_largest_jobs(&mut self, now: Instant) {
+    /// Returns the jobs that can be on time by the estimates of their callers.
+    fn timely_jobs(&self, now: Instant) -> BTreeSet<JobKey> {
         let jobs = self.jobs.iter();
         let timely = jobs.filter(|(_, job)| {
             !job.state.is_final() && rank::rank(job, now).class == Class::InTime
         });
-        let sized = timely.map(|(key, job)| {
+        timely.map(|(key, _)| key).collect()
+    }
+
+    fn count_largest_jobs(&mut self, timely: &BTreeSet<JobKey>) {
+        let sized = timely.iter().map(|&key| {
+            let job = &self.jobs[key];
             let sized = Sized {
                 key,
                 work: estimated_work(job),
@@ -434,7 +478,7 @@
     /// Returns the capacity that jobs outside the feasible set may still occupy, by pool.
     fn leftovers(
         &self,
-        now: Instant,
+        timely: &BTreeSet<JobKey>,
         capacities: BTreeMap<String, Resource>,
         expected: &BTreeMap<String, Resource>,
     ) -> BTreeMap<String, Resource> {
@@ -443,28 +487,35 @@
             *leftover = leftover.percent(LEFTOVER_PERCENT);
             leftover.subtract(&expected.get(pool).copied().unwrap_or_default());
         }
-        for run in self.runs.values() {
-            let job = run
-                .task
-                .and_then(|task| Some((task.job, self.jobs.get(task.job)?)));
-            let Some((key, job)) = job else {
-                continue;
-            };
-            let class = self.feasible_rank(key, rank::rank(job, now)).class;
-            if class != Class::InTime
+        for (key, job) in &self.jobs {
+            let is_served =
+                timely.contains(&key) && !self.feasibility.excluded.contains_key(&key);
+            if !is_served
                 && let Some(leftover) = leftovers.get_mut(self.pool_of(&job.record))
             {
-                leftover.subtract(&run.reserved);
+                leftover.subtract(&self.used_by(job));
             }
         }
         leftovers
     }
+
+    /// Returns the resources that the runs of a job reserve.
+    fn used_by(&self, job: &Job) -> Resource {
+        let mut used = Resource::default();
+        let groups = job.occurrences.values().flat_map(|open| &open.groups);
+        for task in groups.flat_map(|group| &group.tasks) {
+            for &run in &task.runs {
+                used.add(&self.runs[run].reserved);
+            }
+        }
+        used
+    }
 }
 
 /// Returns the jobs that have to be dropped so that the others, ordered by deadline, can
 /// end on time.
-fn dropped(now: Instant, candidates: &[Candidate], is_scarce: bool) -> Vec<JobKey> {
-    let mut dropped = Vec::new();
+fn dropped(now: Instant, candidates: &[Candidate], is_scarce: bool) -> BTreeSet<JobKey> {
+    let mut dropped = BTreeSet::new();
     let mut taken: BinaryHeap<(Duration, JobKey)> = BinaryHeap::new();
     let mut total = Duration::ZERO;
     for candidate in candidates.iter().filter(|candidate| !candidate.tight) {
@@ -477,7 +528,7 @@
             && let Some((occupancy, key)) = taken.pop()
         {
             total -= occupancy;
-            dropped.push(key);
+            dropped.insert(key);
         }
     }
     let waiting: Duration = taken.iter().map(|(occupancy, _)| *occupancy).sum();
--- a/crates/dispatch/src/front.rs
+++ b/crates/dispatch/src/front.rs
@@ -1,5 +1,6 @@
 //! HTTP interface for callers, the load balancer and other entry hosts.
 
+mod admission;
 mod answer;
 mod forwarding;
 mod request;
--- a/crates/dispatch/src/front/submit.rs
+++ b/crates/dispatch/src/front/submit.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::request::Call;
-use super::{Answer, forwarding};
+use super::{Answer, admission, forwarding};
 use crate::node::Node;
 use crate::platform::{
     Bodies, CommitOutcome, Condition, Failure, Item, Platform, Transaction, Write,
@@ -90,6 +90,9 @@
         return to_answer(node, SubmitOutcome::AcceptedBefore);
     }
     let deadline = clock::now() + call.timeout;
+    if let Some(answer) = admission::reject(node, call, &spec).await {
+        return answer;
+    }
     let (queue, workspace) = (&call.queue, call.workspace.clone());
     let outcome =
         store_job(node, &call.id, queue, workspace, spec.clone(), deadline).await;
--- a/crates/dispatch/src/key.rs
+++ b/crates/dispatch/src/key.rs
@@ -23,6 +23,9 @@
 /// Key of the record of how many jobs wait in each queue.
 pub const PENDING: &str = "rhubarbrill/shared/pending";
 
+/// Key of the leader's estimate of when new jobs start.
+pub const ESTIMATE: &str = "rhubarbrill/shared/estimate";
+
 /// Key of the record of recent orders for hosts.
 pub const ORDERS: &str = "rhubarbrill/kept/orders";
 
@@ -35,6 +38,8 @@
     Term,
     /// Number of jobs that wait in each queue.
     Pending,
+    /// Estimate of when new jobs start.
+    Estimate,
     /// State of a job that has started, by job ID.
     State(String),
     /// Cancellation of a job, by job ID.
@@ -84,6 +89,7 @@
             None if rest == "leader" => Some(Key::Leader),
             None if rest == "term" => Some(Key::Term),
             None if rest == "pending" => Some(Key::Pending),
+            None if rest == "estimate" => Some(Key::Estimate),
             Some(("state", id)) => Some(Key::State(id.to_owned())),
             Some(("cancel", id)) => Some(Key::Cancellation(id.to_owned())),
             _ => None,
--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -3,6 +3,7 @@
 
 mod authority;
 mod election;
+mod estimate;
 mod hosts;
 mod notes;
 mod orders;
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rhubarbrill_core::job::Estimate;
 use rhubarbrill_core::job::scheduler::{
     Save, SaveOutcome, Wave, WaveProgress, WaveState,
 };
@@ -173,6 +174,21 @@
     });
 }
 
+/// Writes the estimate of when new jobs start.
+pub(super) fn write_estimate<P: Platform>(shared: &Rc<Shared<P>>, estimate: Estimate) {
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        let writes = record_write(&shared, key::ESTIMATE.to_owned(), &estimate);
+        let written = commit(&shared, writes.into_iter().collect()).await;
+        let fields = o!(
+            "term" => estimate.term,
+            "pools" => format!("{:?}", estimate.pools),
+            "written" => written,
+        );
+        event::log(&shared.node.log, Event::EstimateWritten, fields);
+    });
+}
+
 /// Removes the states of finished jobs.
 pub(super) fn remove_finished<P: Platform>(shared: &Rc<Shared<P>>, ids: Vec<String>) {
     let shared = Rc::clone(shared);
--- a/crates/dispatch/src/lead/takeover.rs
+++ b/crates/dispatch/src/lead/takeover.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::authority::HOLD_GRACE;
+use super::estimate::EstimateWriter;
 use super::recovery::RecoveredState;
 use super::registrations::Registrations;
 use super::term::{Message, Shared};
@@ -45,6 +46,7 @@
     pub(super) pending: Option<Pending>,
     pub(super) next_pending: Instant,
     pub(super) next_hosts: Instant,
+    pub(super) estimates: EstimateWriter,
 }
 
 impl LeaderState {
@@ -114,6 +116,7 @@
         pending: None,
         next_pending: now,
         next_hosts: now,
+        estimates: EstimateWriter::new(now),
     };
     // Endpoints come first, because the runs of jobs are matched with them.
     for read in [endpoints?, jobs?] {
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -203,6 +203,7 @@
     for command in commands {
         execute(shared, scheduler, command);
     }
+    leader.estimates.write(shared, scheduler, authority);
     if now >= leader.next_pending {
         leader.next_pending = now + PENDING_INTERVAL;
         let pending = Pending {
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -22,6 +22,8 @@
     orders: Counter<u64>,
     run_ends: Counter<u64>,
     store_writes: Counter<u64>,
+    rejected_jobs: Counter<u64>,
+    rejected_work: Counter<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -65,6 +67,14 @@
                 "rhubarbrill_store_writes",
                 "Writes to the store by outcome",
             ),
+            rejected_jobs: counter(
+                "rhubarbrill_rejected_jobs",
+                "Jobs that were rejected because their pool can't finish them, by queue",
+            ),
+            rejected_work: counter(
+                "rhubarbrill_rejected_work",
+                "Estimated work of rejected jobs, in core milliseconds, by queue",
+            ),
             registry,
             _provider: provider,
         })
@@ -102,6 +112,13 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a job that was rejected, with its estimated work in core milliseconds.
+    pub fn job_rejected(&self, queue: &str, work: u64) {
+        let values = [KeyValue::new("queue", queue.to_owned())];
+        self.rejected_jobs.add(1, &values);
+        self.rejected_work.add(work, &values);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/dispatch/src/view.rs
+++ b/crates/dispatch/src/view.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
+use std::time::Duration;
 
 use rhubarbrill_core::job::leader::Leader;
 use rhubarbrill_core::job::scheduler::Wave;
-use rhubarbrill_core::job::{Configuration, State};
+use rhubarbrill_core::job::{Configuration, Estimate, State};
 use rhubarbrill_core::time::Instant;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -58,6 +59,17 @@
     },
 }
 
+/// Age of an estimate above which it is not used any more.
+const ESTIMATE_VALIDITY: Duration = Duration::from_millis(1_500);
+
+/// An estimate as it was read from the store.
+#[derive(Clone, Debug)]
+struct ReadEstimate {
+    estimate: Estimate,
+    revision: u64,
+    at: Instant,
+}
+
 /// How far a section has been followed.
 #[derive(Clone, Copy, Debug, Default)]
 struct SectionProgress {
@@ -78,6 +90,8 @@
     pub pending: Pending,
     /// Requested waves, by wave number.
     pub waves: BTreeMap<u64, Wave>,
+    /// The leader's estimate of when new jobs start.
+    estimate: Option<ReadEstimate>,
     operators: SectionProgress,
     shared: SectionProgress,
     states: HashMap<String, State>,
@@ -133,6 +147,29 @@
         self.accepted.get(id).copied()
     }
 
+    /// Returns the leader's estimate of when new jobs start and its age, unless it is too
+    /// old or from an earlier term.
+    pub fn estimate(&self, now: Instant) -> Option<(&Estimate, Duration)> {
+        let read = self.estimate.as_ref()?;
+        let age = now.saturating_since(read.at);
+        let term = self.term.as_ref().map_or(0, |term| term.value.number);
+        let is_valid = age <= ESTIMATE_VALIDITY && read.estimate.term >= term;
+        is_valid.then_some((&read.estimate, age))
+    }
+
+    /// An estimate that is listed again doesn't become younger.
+    fn set_estimate(&mut self, revision: u64, estimate: Estimate) {
+        let known = self.estimate.as_ref();
+        if known.is_some_and(|known| known.revision == revision) {
+            return;
+        }
+        self.estimate = self.shared.last_contact.map(|at| ReadEstimate {
+            estimate,
+            revision,
+            at,
+        });
+    }
+
     /// Applies the changes of a section and returns the resulting changes of the view.
     pub fn apply(
         &mut self,
@@ -200,6 +237,7 @@
             Some(Key::Cancellation(id)) => {
                 self.cancelled.remove(&id);
             }
+            Some(Key::Estimate) => self.estimate = None,
             Some(
                 Key::Job(_)
                 | Key::Orders
@@ -237,6 +275,13 @@
                 Ok(value) => self.pending = value,
                 Err(reason) => return Some(reason),
             },
+            Key::Estimate => match decode(value) {
+                Ok(estimate) => self.set_estimate(revision, estimate),
+                Err(reason) => {
+                    self.estimate = None;
+                    return Some(reason);
+                }
+            },
             Key::State(id) => match decode(value) {
                 Ok(state) => {
                     self.accepted.remove(&id);
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -209,9 +209,6 @@
         "Add hosts to the pool if it repeats.";
     EstimateWritten = 723, Info,
         "The leader's estimate of the time until new jobs start was written.", "Nothing.";
-    SharesYielded = 724, Info,
-        "A pool is full, and workspaces above their share let others go first.",
-        "Check the weights of the workspaces if it repeats.";
 }
 
 impl Event {
--- a/crates/rhubarbrilld/tests/support/jobs.rs
+++ b/crates/rhubarbrilld/tests/support/jobs.rs
@@ -15,6 +15,9 @@
 /// Longest time that any wait in these tests may take.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Name of the file in an entry host's folder that switches features on.
+pub const FEATURES_FILE: &str = "features.ini";
+
 /// A running entry host process, which is killed when dropped. Its addresses are those of
 /// the listeners for callers, readiness and metrics.
 #[derive(Debug)]
@@ -60,8 +63,13 @@
             .append(true)
             .open(folder.path().join(format!("{name}.log")))
             .unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrilld"))
-            .arg("--platform")
+        let mut command = Command::new(env!("CARGO_BIN_EXE_rhubarbrilld"));
+        command.arg("--platform");
+        let features = folder.path().join(FEATURES_FILE);
+        if features.exists() {
+            command.arg("--features").arg(features);
+        }
+        let child = command
             .env(SETTINGS_PATH_VARIABLE, path)
             .stdout(Stdio::from(log))
             .stderr(Stdio::inherit())
