--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -19,18 +19,21 @@
 };
 use crate::time::{Instant, Timestamp};
 
+mod backlog;
 mod balance;
 mod capacity;
 mod cold;
 mod endpoint_pace;
 mod evacuation;
 mod event;
+mod feasibility;
 mod finish;
 mod fleet;
 mod forecast;
 mod hosts;
 mod inherit;
 mod intake;
+mod largest;
 mod lease;
 mod listing;
 mod onset;
@@ -259,6 +262,7 @@
     run_time_ratios: straggler::RunTimeRatios,
     run_times: run_time::RunTimes,
     endpoint_paces: endpoint_pace::EndpointPaces,
+    feasibility: feasibility::Feasibility,
     events: Vec<SchedulerEvent>,
 }
 
@@ -295,6 +299,7 @@
             run_times: run_time::RunTimes::default(),
             endpoint_paces: endpoint_pace::EndpointPaces::default(),
             events: SchedulerEvent::learning_starts(options.features, term.number),
+            feasibility: feasibility::Feasibility::default(),
         }
     }
 
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -72,6 +72,23 @@
         /// Why the run is considered gone.
         reason: &'static str,
     },
+    /// A job left the feasible set of its pool.
+    Excluded {
+        /// Identity of the job.
+        job: String,
+        /// Pool that serves the job.
+        pool: String,
+        /// Duration of the longest chain of unfinished steps.
+        path: Duration,
+        /// Time until the job is late.
+        left: Duration,
+        /// Time for which the remaining work occupies the whole pool.
+        occupancy: Duration,
+        /// Capacity of the pool.
+        capacity: Resource,
+        /// Why the job left.
+        reason: &'static str,
+    },
     /// A job is finished.
     Finished {
         /// Identity of the job.
--- a/crates/core/tests/job_support/delivery.rs
+++ b/crates/core/tests/job_support/delivery.rs
@@ -233,6 +233,9 @@
         let percent = self.run_time_percent.get(&record.queue).unwrap_or(&100);
         step.estimate_ms = step.estimate_ms * percent / 100;
         let task = order.name.to_string();
+        if let Some(percent) = self.run_time_percents.get(&task) {
+            step.estimate_ms = step.estimate_ms * percent / 100;
+        }
         let id = &order.target.id;
         let endpoint = self
             .endpoints
--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -3,6 +3,7 @@
 
 mod authority;
 mod election;
+mod estimate;
 mod evacuation;
 mod hand_over;
 mod hosts;
--- a/crates/dispatch/src/lead/takeover.rs
+++ b/crates/dispatch/src/lead/takeover.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::authority::HOLD_GRACE;
+use super::estimate::EstimateWriter;
 use super::evacuation;
 use super::recovery::RecoveredState;
 use super::registrations::Registrations;
@@ -48,6 +49,7 @@
     pub(super) next_pending: Instant,
     pub(super) next_hosts: Instant,
     pub(super) watch_progress: WatchProgress,
+    pub(super) estimates: EstimateWriter,
 }
 
 impl LeaderState {
@@ -122,6 +124,7 @@
         next_pending: now,
         next_hosts: now,
         watch_progress: WatchProgress::default(),
+        estimates: EstimateWriter::new(now),
     };
     // Endpoints come first, because the runs of jobs are matched with them.
     for read in [endpoints?, jobs?] {
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -240,6 +240,14 @@
     SaveFailed = 720, Warning,
         "Progress could not be written to the store; the write is retried.",
         "Check the store if it repeats.";
+    JobInfeasible = 721, Info,
+        "A job is not expected to end on time; it runs with the capacity that others leave.",
+        "Add hosts to the pool if it repeats.";
+    JobNotAdmitted = 722, Info,
+        "A job was rejected at once, because its pool can't finish it while it is of use.",
+        "Add hosts to the pool if it repeats.";
+    EstimateWritten = 723, Info,
+        "The leader's estimate of the time until new jobs start was written.", "Nothing.";
     RunTimesLearned = 730, Info,
         "The run times that are expected of a queue's tasks changed, relative to estimates.",
         "Ask the queue's callers for better estimates if they are far off.";
