Mend what a review of admission and endpoint pace found, and give the feasible set a switch

Cause: a review by somebody who wrote neither part found: work outside the feasible set could wait forever in an idle pool, because the leftover was charged before placement and a step larger than it never started; the learned run-time factor was applied twice with run-time-estimates; the protection of the largest tenth was spent on jobs that are dropped for another reason; an ejected endpoint with room kept urgent jobs from preempting elsewhere; long-running runs used up the run limit of a probe.

Ruled out: keeping the rejection at entry hosts and the order of starts behind one switch. The rejection's wait counts work that a short job would overtake, so the order can be used without it.

Change: what is placed is charged, a pool without such runs lets a whole step start, the factor is applied once, jobs without time to spare aren't protected, endpoints beyond their run limit aren't considered for preemption, long-running runs don't count towards it; Feature::FeasibleSet.

Conclusion: admission at entry hosts stays off until its wait is by queue and its refusals leave a marker in the store.

--- a/crates/config/src/features.rs
+++ b/crates/config/src/features.rs
@@ -34,6 +34,10 @@
             Feature::FairShare,
             "Share full pools by the workspaces' weights.",
         ),
+        switch(
+            Feature::FeasibleSet,
+            "Serve the jobs that can end on time first.",
+        ),
         switch(
             Feature::HandOver,
             "Let a leader without the store hand over.",
--- a/crates/core/src/job/feature.rs
+++ b/crates/core/src/job/feature.rs
@@ -3,8 +3,7 @@
 /// A scheduling feature. Each one is off unless the settings of a deployment switch it on.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Feature {
-    /// Jobs that can't be served are rejected at once, and jobs that can end in time start
-    /// before those that can't.
+    /// Jobs that can't end while they are of use are rejected at once.
     Admission,
     /// Recurring demand of pools is learned, and hosts move before it rises.
     DemandPatterns,
@@ -13,6 +12,9 @@
     EndpointPace,
     /// Workspaces share the room of a full pool by their weights.
     FairShare,
+    /// Jobs that can end on time start before those that can't, which only get the capacity
+    /// that is left.
+    FeasibleSet,
     /// A leader that can't reach the store while other entry hosts can ends its term.
     HandOver,
     /// Tasks that slow each other down are kept on separate endpoints.
@@ -25,11 +27,12 @@
 
 impl Feature {
     /// Every feature, in order of name.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Admission,
         Self::DemandPatterns,
         Self::EndpointPace,
         Self::FairShare,
+        Self::FeasibleSet,
         Self::HandOver,
         Self::Interference,
         Self::RunTimeEstimates,
@@ -43,6 +46,7 @@
             Self::DemandPatterns => "demand-patterns",
             Self::EndpointPace => "endpoint-pace",
             Self::FairShare => "fair-share",
+            Self::FeasibleSet => "feasible-set",
             Self::HandOver => "hand-over",
             Self::Interference => "interference",
             Self::RunTimeEstimates => "run-time-estimates",
--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -383,7 +383,7 @@
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
             attempts: queue.map_or(1, |queue| queue.attempts).max(1),
             late_after,
-            max_run_time_percent: 100 + slack_ms * 50 / chain_ms.max(1),
+            max_run_time_percent: 100 + slack_ms.saturating_mul(50) / chain_ms.max(1),
         }
     }
 }
--- a/crates/core/src/job/scheduler/endpoint_pace.rs
+++ b/crates/core/src/job/scheduler/endpoint_pace.rs
@@ -174,10 +174,15 @@
         pace.map_or(0, |pace| pace.class)
     }
 
-    /// Returns whether an endpoint may have another run in view of its pace.
+    /// Returns whether an endpoint may have another run in view of its pace. Long-running
+    /// runs don't count, since they would keep an ejected endpoint from being probed.
     pub(super) fn is_within_run_limit(&self, key: EndpointKey) -> bool {
-        let pace = self.endpoint_paces.endpoints.get(key);
-        pace.is_none_or(|pace| pace.limit.allows(self.endpoints[key].runs.len()))
+        let Some(pace) = self.endpoint_paces.endpoints.get(key) else {
+            return true;
+        };
+        let runs = self.endpoints[key].runs.len();
+        pace.limit
+            .allows(runs.saturating_sub(self.count_long_running(key)))
     }
 
     /// Records the run time of a run that succeeded.
--- a/crates/core/src/job/scheduler/feasibility.rs
+++ b/crates/core/src/job/scheduler/feasibility.rs
@@ -61,6 +61,8 @@
     tight: BTreeSet<JobKey>,
     /// Capacity that jobs outside the set may still occupy, by pool.
     leftover: BTreeMap<String, Resource>,
+    /// Pools in which runs of jobs outside the set are executing.
+    occupied: BTreeSet<String>,
     /// Time until a job that arrives now would start, by pool.
     waits: BTreeMap<String, Duration>,
     run_times: BTreeMap<String, RunTimes>,
@@ -189,7 +191,7 @@
 impl Scheduler {
     /// Decides which jobs of each pool can end on time.
     pub(super) fn update_feasible_set(&mut self, now: Instant) {
-        if !self.has_feature(Feature::Admission) || self.is_feasible_set_fresh(now) {
+        if !self.has_feature(Feature::FeasibleSet) || self.is_feasible_set_fresh(now) {
             return;
         }
         self.feasibility.updated = Some((now, self.jobs.len()));
@@ -242,7 +244,9 @@
         self.feasibility.excluded = excluded;
         self.feasibility.tight = tight;
         self.feasibility.waits = waits;
-        self.feasibility.leftover = self.leftovers(&timely, capacities, &expected);
+        let used = self.used_outside(&timely);
+        self.feasibility.occupied = used.keys().cloned().collect();
+        self.feasibility.leftover = leftovers(capacities, &expected, &used);
     }
 
     /// Returns whether the set was computed a moment ago for the same number of jobs.
@@ -290,40 +294,58 @@
     }
 
     /// Limits the tasks of a job outside the feasible set to the capacity that is left for
-    /// such jobs.
+    /// such jobs. If none of them occupies the pool, a whole step may start, so that each of
+    /// them gets its turn however much is expected.
     pub(super) fn limit_leftover_tasks(
-        &mut self,
+        &self,
         rank: Rank,
         pool: &str,
         waiting: &mut Vec<TaskRef>,
     ) {
-        let is_limited = matches!(
-            rank.class,
-            Class::Infeasible | Class::OverSubmissionRate | Class::Late
-        );
         let Some(&first) = waiting.first() else {
             return;
         };
-        if !is_limited || !self.has_feature(Feature::Admission) {
+        if !self.is_limited(rank) || !self.feasibility.occupied.contains(pool) {
             return;
         }
         let reserved = self.step(first).reserved();
-        let leftover = self
-            .feasibility
-            .leftover
-            .entry(pool.to_owned())
-            .or_default();
+        let leftover = self.feasibility.leftover.get(pool);
+        let mut leftover = leftover.copied().unwrap_or_default();
         let fitting = waiting.iter().take_while(|_| {
-            let fits = reserved.is_at_most(leftover);
-            if fits {
-                leftover.subtract(&reserved);
-            }
+            let fits = reserved.is_at_most(&leftover);
+            leftover.subtract(&reserved);
             fits
         });
         let count = fitting.count();
         waiting.truncate(count);
     }
 
+    /// Records that tasks of a job outside the feasible set were placed.
+    pub(super) fn record_leftover(
+        &mut self,
+        rank: Rank,
+        pool: &str,
+        reserved: &Resource,
+        placed: usize,
+    ) {
+        if placed == 0 || !self.is_limited(rank) {
+            return;
+        }
+        self.feasibility.occupied.insert(pool.to_owned());
+        if let Some(leftover) = self.feasibility.leftover.get_mut(pool) {
+            leftover.subtract(&reserved.times(placed as u64));
+        }
+    }
+
+    /// Returns whether a job only gets the capacity that the feasible set leaves.
+    fn is_limited(&self, rank: Rank) -> bool {
+        let is_outside = matches!(
+            rank.class,
+            Class::Infeasible | Class::OverSubmissionRate | Class::Late
+        );
+        is_outside && self.has_feature(Feature::FeasibleSet)
+    }
+
     /// Returns the capacity of each pool that serves jobs or is about to.
     fn pool_capacities(&self, now: Instant) -> BTreeMap<String, Resource> {
         let mut capacities: BTreeMap<String, Resource> = BTreeMap::new();
@@ -403,13 +425,14 @@
     }
 
     /// Exempts the first jobs of the largest tenth of each queue from being dropped, as far
-    /// as their share requires. `candidates` is ordered by deadline.
+    /// as their share requires. `candidates` is ordered by deadline. Jobs without time to
+    /// spare don't count, since they are dropped for another reason.
     fn protect_largest(&self, candidates: &mut [Candidate]) {
         let largest_jobs = &self.feasibility.largest_jobs;
         let mut missing = largest_jobs.missing();
         for candidate in candidates
             .iter_mut()
-            .filter(|candidate| candidate.droppable)
+            .filter(|candidate| candidate.droppable && !candidate.tight)
         {
             let job = &self.jobs[candidate.key];
             let queue = job.record.queue.as_str();
@@ -466,7 +489,12 @@
         now: Instant,
         capacities: &BTreeMap<String, Resource>,
     ) -> BTreeMap<String, Resource> {
-        let percent = self.feasibility.mean_percent();
+        // Arrivals are counted with the learned run times if those are switched on.
+        let percent = if self.has_feature(Feature::RunTimeEstimates) {
+            100
+        } else {
+            self.feasibility.mean_percent()
+        };
         let mut expected = BTreeMap::new();
         for pool in capacities.keys() {
             let estimated = self.arrivals.expected(now, pool);
@@ -475,28 +503,20 @@
         expected
     }
 
-    /// Returns the capacity that jobs outside the feasible set may still occupy, by pool.
-    fn leftovers(
-        &self,
-        timely: &BTreeSet<JobKey>,
-        capacities: BTreeMap<String, Resource>,
-        expected: &BTreeMap<String, Resource>,
-    ) -> BTreeMap<String, Resource> {
-        let mut leftovers = capacities;
-        for (pool, leftover) in &mut leftovers {
-            *leftover = leftover.percent(LEFTOVER_PERCENT);
-            leftover.subtract(&expected.get(pool).copied().unwrap_or_default());
-        }
+    /// Returns the capacity that the runs of jobs outside the feasible set reserve, by
+    /// pool.
+    fn used_outside(&self, timely: &BTreeSet<JobKey>) -> BTreeMap<String, Resource> {
+        let mut used: BTreeMap<String, Resource> = BTreeMap::new();
         for (key, job) in &self.jobs {
             let is_served =
                 timely.contains(&key) && !self.feasibility.excluded.contains_key(&key);
-            if !is_served
-                && let Some(leftover) = leftovers.get_mut(self.pool_of(&job.record))
-            {
-                leftover.subtract(&self.used_by(job));
+            let amount = self.used_by(job);
+            if !is_served && amount != Resource::default() {
+                let pool = self.pool_of(&job.record).to_owned();
+                used.entry(pool).or_default().add(&amount);
             }
         }
-        leftovers
+        used
     }
 
     /// Returns the resources that the runs of a job reserve.
@@ -512,6 +532,21 @@
     }
 }
 
+/// Returns the capacity that jobs outside the feasible set may still occupy, by pool.
+fn leftovers(
+    capacities: BTreeMap<String, Resource>,
+    expected: &BTreeMap<String, Resource>,
+    used: &BTreeMap<String, Resource>,
+) -> BTreeMap<String, Resource> {
+    let mut leftovers = capacities;
+    for (pool, leftover) in &mut leftovers {
+        *leftover = leftover.percent(LEFTOVER_PERCENT);
+        leftover.subtract(&expected.get(pool).copied().unwrap_or_default());
+        leftover.subtract(&used.get(pool).copied().unwrap_or_default());
+    }
+    leftovers
+}
+
 /// Returns the jobs that have to be dropped so that the others, ordered by deadline, can
 /// end on time.
 fn dropped(now: Instant, candidates: &[Candidate], is_scarce: bool) -> BTreeSet<JobKey> {
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -75,7 +75,9 @@
                 self.place_gang(now, &waiting, &open_pool.endpoints);
                 continue;
             }
+            let reserved = self.step(waiting[0]).reserved();
             let placed = self.place_step(now, &waiting, open_pool);
+            self.record_leftover(rank, &pool, &reserved, placed);
             let left = &waiting[placed..];
             if let Some(&first) = left.first() {
                 if matches!(
--- a/crates/core/src/job/scheduler/preempt.rs
+++ b/crates/core/src/job/scheduler/preempt.rs
@@ -83,7 +83,11 @@
         let reserved = self.step(task).reserved();
         let best = endpoints
             .iter()
-            .filter(|&&key| self.is_suitable(now, task, key) && !self.is_cold(now, key))
+            .filter(|&&key| {
+                self.is_suitable(now, task, key)
+                    && self.is_within_run_limit(key)
+                    && !self.is_cold(now, key)
+            })
             .filter_map(|&key| {
                 let (lost, runs) =
                     self.victims_on(now, priority, key, &reserved, victims)?;
--- a/crates/core/tests/job_admission.rs
+++ b/crates/core/tests/job_admission.rs
@@ -297,7 +297,12 @@
     let mut after = Served::default();
     let (mut all, mut largest) = (Served::default(), Served::default());
     for seed in SEEDS {
-        let outcome = overload(seed, Features::NONE.with(Feature::Admission));
+        let outcome = overload(
+            seed,
+            Features::NONE
+                .with(Feature::Admission)
+                .with(Feature::FeasibleSet),
+        );
         assert!(
             outcome.consumed_percent >= MIN_ON_TIME_PERCENT,
             "{outcome:?}"
--- a/crates/core/tests/job_estimate.rs
+++ b/crates/core/tests/job_estimate.rs
@@ -112,7 +112,11 @@
 /// The wait follows the jobs that will start before a new one, and ends with them.
 #[test]
 fn wait_follows_the_backlog() {
-    let mut simulation = simulation(Features::NONE.with(Feature::Admission));
+    let mut simulation = simulation(
+        Features::NONE
+            .with(Feature::Admission)
+            .with(Feature::FeasibleSet),
+    );
     let wait_ms = |simulation: &Simulation| {
         let estimate = simulation.scheduler.estimate().expect("the switch is on");
         estimate.pools["a"].wait_ms
