Learn which images slow each other down, and keep them apart (switch interference)

Cause: pacing slows best-effort tasks down on each endpoint anew, and placement learns nothing from it, so a best-effort task stays slow for as long as it shares an endpoint with a task that it harms.

Ruled out: learning per endpoint, per image alone, comparing averages over all endpoints, state in the store (docs/design/interference.md).

Change: a decision module that learns pairs from the reports, with a half-life of 15 s and at most 256 pairs; one term in choose_endpoint; best-effort runs that have a checkpoint or nothing to lose are moved where the gain covers the cost; events 740 to 744; metric rhubarbrill_interference_pairs. Pacing is unchanged. The simulated endpoint gains an added latency by image; its default is as before.

The run time of other tasks isn't learned, and a round with many known pairs wasn't measured.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -27,6 +27,7 @@
 mod hosts;
 mod inherit;
 mod intake;
+pub mod interference;
 mod lease;
 mod listing;
 mod order;
@@ -233,6 +234,7 @@
     hosts: hosts::Hosts,
     waves: wave::Waves,
     arrivals: forecast::Arrivals,
+    interference: interference::Interference,
     pace_control: pace::PaceControl,
     permissions: permission::Permissions,
     submission_rates: submission_rate::SubmissionRates,
@@ -264,6 +266,7 @@
             hosts: hosts::Hosts::default(),
             waves: wave::Waves::default(),
             arrivals: forecast::Arrivals::default(),
+            interference: interference::Interference::default(),
             pace_control: pace::PaceControl::default(),
             permissions: permission::Permissions::default(),
             submission_rates: submission_rate::SubmissionRates::default(),
@@ -312,6 +315,7 @@
             self.issue_starts(now, &mut commands);
             self.issue_stops(now, &mut commands);
             self.adjust_paces(now, &mut commands);
+            self.separate_runs(now);
         }
         self.issue_holds(now, &mut commands);
         self.save(now, &mut commands);
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -1,5 +1,8 @@
 //! Events of the scheduler, for the log.
 
+use std::time::Duration;
+
+use super::interference::Change;
 use crate::job::{Resource, RunEnd, TaskName};
 
 /// A scheduling decision, or a change in the leader's view of runs and endpoints.
@@ -121,6 +124,46 @@
         /// Lost work, in core-milliseconds.
         lost: u64,
     },
+    /// A new leader starts without any evidence about interference.
+    InterferenceReset,
+    /// A pair of images that slow each other down was found or forgotten.
+    PairChanged {
+        /// The change.
+        change: Change,
+        /// Number of pairs that are known after it.
+        known: usize,
+    },
+    /// A run was placed beside tasks that it slows down or that slow it down, because no
+    /// suitable endpoint with less harm had room.
+    PlacedBesideHarm {
+        /// Identity of the job.
+        job: String,
+        /// Image of the task.
+        image: String,
+        /// Identity of the endpoint.
+        endpoint: String,
+        /// Expected harm, in percent of the latency target.
+        harm_percent: u64,
+        /// Time since the endpoint's last report that counted as evidence.
+        report_age: Option<Duration>,
+    },
+    /// A best-effort run is moved away from tasks that it slows down.
+    Separating {
+        /// Name of the task.
+        name: TaskName,
+        /// Number of the run.
+        number: u64,
+        /// Identity of the endpoint that it leaves.
+        endpoint: String,
+        /// Identity of an endpoint with room and less harm.
+        destination: String,
+        /// Harm on the endpoint that it leaves, in percent of the latency target.
+        harm_percent: u64,
+        /// Speed to which pacing had limited the run, in percent.
+        pace_percent: u32,
+        /// Time since the endpoint's last report that counted as evidence.
+        report_age: Option<Duration>,
+    },
     /// A host is moved to another pool.
     HostMoves {
         /// Name of the host.
--- a/crates/core/src/job/scheduler/pace.rs
+++ b/crates/core/src/job/scheduler/pace.rs
@@ -46,6 +46,11 @@
         self.above_target_since.remove(&key);
     }
 
+    /// Returns when the paces on an endpoint were last changed.
+    pub(super) fn adjusted_at(&self, key: EndpointKey) -> Option<Instant> {
+        self.adjusted_at.get(&key).copied()
+    }
+
     /// Records a tail latency, in percent of its target, and returns whether it has been
     /// above the target for too long.
     fn is_above_target_too_long(
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -251,8 +251,9 @@
     /// Returns the best endpoint for a task, or `None` if it fits nowhere.
     ///
     /// Endpoints on which the task hasn't failed come first, then those near its data,
-    /// then, for long-running tasks, those with the most long-running runs, and then
-    /// those with the least free capacity.
+    /// then those with the least expected harm by interference, then, for long-running
+    /// tasks, those with the most long-running runs, and then those with the least free
+    /// capacity.
     fn choose_endpoint(
         &self,
         now: Instant,
@@ -292,6 +293,7 @@
                 (
                     avoid.contains(&key),
                     remote,
+                    self.expected_harm(key, task),
                     Reverse(long_running_count),
                     free,
                 )
@@ -371,6 +373,7 @@
     /// Assigns a task to an endpoint. The start order is sent once the assignment is
     /// saved.
     fn plan(&mut self, now: Instant, task: TaskRef, key: EndpointKey, number: u64) {
+        self.log_expected_harm(now, key, task);
         let step = self.step(task);
         let (reserved, demand) = (step.reserved(), step.demand);
         let name = TaskName {
--- a/crates/core/src/job/scheduler/report.rs
+++ b/crates/core/src/job/scheduler/report.rs
@@ -54,6 +54,7 @@
                 );
                 self.process_ends(now, key, &report.ended);
                 self.process_running(now, key, sent, &report.running);
+                self.learn_interference(now, key);
                 self.schedule_next_hold(now, key);
             }
         }
--- a/crates/core/tests/job_support/endpoint.rs
+++ b/crates/core/tests/job_support/endpoint.rs
@@ -44,6 +44,7 @@
     /// none.
     target_ms: u64,
     best_effort: bool,
+    pub image: String,
     /// Permitted speed, in percent of full speed.
     pub pace: u32,
 }
@@ -81,6 +82,10 @@
     /// Amount that each best-effort task at full speed adds to the tail latency of the
     /// other tasks, in milliseconds.
     pub interference_ms: u64,
+    /// The same amount for images that differ from `interference_ms`.
+    pub interference_by_image_ms: BTreeMap<String, u64>,
+    /// Tail latency without interference, in milliseconds.
+    pub base_tail_ms: u64,
     ended_runs: Vec<EndedRun>,
     sequence: u64,
     highest_fencing_token: u64,
@@ -105,6 +110,8 @@
             slowdown: 1,
             run_time_percent: 100,
             interference_ms: 0,
+            interference_by_image_ms: BTreeMap::new(),
+            base_tail_ms: BASE_TAIL_MS,
             ended_runs: Vec::new(),
             sequence: 0,
             highest_fencing_token: 0,
@@ -160,6 +167,7 @@
             reserved: step.reserved(),
             target_ms: step.latency_target_ms,
             best_effort: step.best_effort,
+            image: step.image.clone(),
             pace: 100,
         });
         OrderOutcome::Done(Some(clock_ms(now)))
@@ -267,9 +275,9 @@
     pub fn measure_tail_latency(&mut self, now: Instant) -> Duration {
         let best_effort = self.active_runs.iter().filter(|run| run.best_effort);
         let interference_ms: u64 = best_effort
-            .map(|run| self.interference_ms * u64::from(run.pace) / 100)
+            .map(|run| self.interference_of(run) * u64::from(run.pace) / 100)
             .sum();
-        let tail = BASE_TAIL_MS + interference_ms;
+        let tail = self.base_tail_ms + interference_ms;
         self.tail_samples.push_back((now, tail));
         let above = self
             .active_runs
@@ -284,6 +292,11 @@
             .map_or(Duration::ZERO, |since| now.saturating_since(since))
     }
 
+    fn interference_of(&self, run: &SimulatedRun) -> u64 {
+        let by_image = self.interference_by_image_ms.get(&run.image);
+        by_image.copied().unwrap_or(self.interference_ms)
+    }
+
     fn reported_tail(&mut self, now: Instant) -> u64 {
         while self
             .tail_samples
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -1,6 +1,9 @@
 //! Writes the scheduler's notes to the log.
 
+use std::time::Duration;
+
 use rhubarbrill_core::job::scheduler::SchedulerEvent;
+use rhubarbrill_core::job::scheduler::interference::Change;
 use rhubarbrill_core::job::{RunEnd, TaskName};
 use rhubarbrill_event::Event;
 use slog::o;
@@ -112,6 +115,47 @@
             let fields = o!("job" => job, "runs" => runs, "lost_core_ms" => lost);
             event::log(out, Event::RunsPreempted, fields);
         }
+        SchedulerEvent::InterferenceReset => {
+            node.metrics.interference_pairs(0);
+            event::log(out, Event::InterferenceReset, o!());
+        }
+        SchedulerEvent::PairChanged { change, known } => {
+            pair_changed(node, change, known);
+        }
+        SchedulerEvent::PlacedBesideHarm {
+            job,
+            image,
+            endpoint,
+            harm_percent,
+            report_age,
+        } => {
+            let fields = o!(
+                "job" => job,
+                "image" => image,
+                "endpoint" => endpoint,
+                "harm_percent" => harm_percent,
+                "report_age_ms" => millis(report_age),
+            );
+            event::log(out, Event::RunPlacedBesideHarm, fields);
+        }
+        SchedulerEvent::Separating {
+            name,
+            number,
+            endpoint,
+            destination,
+            harm_percent,
+            pace_percent,
+            report_age,
+        } => {
+            let fields = o!(
+                "destination" => destination,
+                "harm_percent" => harm_percent,
+                "pace_percent" => pace_percent,
+                "report_age_ms" => millis(report_age),
+                run(&name, number, endpoint, ""),
+            );
+            event::log(out, Event::RunSeparated, fields);
+        }
         SchedulerEvent::HostMoves {
             host,
             from,
@@ -140,6 +184,43 @@
     }
 }
 
+fn pair_changed<P>(node: &Node<P>, change: Change, known: usize) {
+    node.metrics
+        .interference_pairs(u64::try_from(known).unwrap_or(u64::MAX));
+    match change {
+        Change::Found {
+            pair,
+            harm_percent,
+            with,
+            without,
+        } => {
+            let fields = o!(
+                "aggressor" => pair.aggressor,
+                "victim" => pair.victim,
+                "harm_percent" => harm_percent,
+                "reports_with" => with,
+                "reports_without" => without,
+                "known_pairs" => known,
+            );
+            event::log(&node.log, Event::InterferencePairFound, fields);
+        }
+        Change::Forgotten { pair, reason } => {
+            let fields = o!(
+                "aggressor" => pair.aggressor,
+                "victim" => pair.victim,
+                "reason" => reason.as_str(),
+                "known_pairs" => known,
+            );
+            event::log(&node.log, Event::InterferencePairForgotten, fields);
+        }
+    }
+}
+
+/// Returns an age in milliseconds for the log; empty if it is unknown.
+fn millis(age: Option<Duration>) -> String {
+    age.map_or_else(String::new, |age| age.as_millis().to_string())
+}
+
 fn ended<P>(node: &Node<P>, name: &TaskName, number: u64, endpoint: String, end: RunEnd) {
     node.metrics.run_ended(end.as_str());
     let fields = run(name, number, endpoint, end.as_str());
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -8,7 +8,7 @@
     Authority, Command, HoldOutcome, Host, Maintenance, OrderOutcome, Pace, PolicyAnswer,
     PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress, WaveState,
 };
-use rhubarbrill_core::job::{EndpointKey, RunKey};
+use rhubarbrill_core::job::{EndpointKey, Feature, RunKey};
 use rhubarbrill_core::time::Instant;
 use rhubarbrill_event::Event;
 use slog::o;
@@ -106,6 +106,14 @@
         run_scheduler(&shared, recovered, &mut messages, &mut view_changes).await;
     }
     done.cancel();
+    if shared
+        .node
+        .settings
+        .features
+        .contains(Feature::Interference)
+    {
+        shared.node.metrics.interference_pairs(0);
+    }
     *shared.node.leader_deltas.borrow_mut() = None;
     // The tasks end once `done` is cancelled; a failure in them has been logged.
     let _ = tokio::join!(renewal, listing, ordering, following);
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use eyre::{Result, WrapErr};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -22,6 +22,7 @@
     orders: Counter<u64>,
     run_ends: Counter<u64>,
     store_writes: Counter<u64>,
+    interference_pairs: Gauge<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -65,6 +66,12 @@
                 "rhubarbrill_store_writes",
                 "Writes to the store by outcome",
             ),
+            interference_pairs: meter
+                .u64_gauge("rhubarbrill_interference_pairs")
+                .with_description(
+                    "Known pairs of images that slow each other down, at the leader",
+                )
+                .build(),
             registry,
             _provider: provider,
         })
@@ -102,6 +109,11 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Sets the number of known pairs of images that slow each other down.
+    pub fn interference_pairs(&self, known: u64) {
+        self.interference_pairs.record(known, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -201,6 +201,19 @@
     SaveFailed = 720, Warning,
         "Progress could not be written to the store; the write is retried.",
         "Check the store if it repeats.";
+    InterferencePairFound = 740, Info,
+        "A pair of images was found of which one slows the other down on one endpoint.",
+        "Nothing. Give one of them endpoints of its own if pacing slows it for long.";
+    InterferencePairForgotten = 741, Info,
+        "A pair of images no longer counts as slowing each other down.", "Nothing.";
+    RunSeparated = 742, Info,
+        "A best-effort run is moved away from tasks that it slows down.", "Nothing.";
+    InterferenceReset = 743, Info,
+        "A new leader starts without any known pairs of images that slow each other down.",
+        "Nothing.";
+    RunPlacedBesideHarm = 744, Info,
+        "A run was placed beside tasks of a known pair, since no better endpoint has capacity.",
+        "Add hosts to the pool if it repeats.";
 }
 
 impl Event {
