--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -33,6 +33,7 @@
 mod hosts;
 mod inherit;
 mod intake;
+pub mod interference;
 mod largest;
 mod lease;
 mod listing;
@@ -256,6 +257,7 @@
     evacuations: evacuation::Evacuations,
     recent_starts: cold::RecentStarts,
     arrivals: forecast::Arrivals,
+    interference: interference::Interference,
     pace_control: pace::PaceControl,
     permissions: permission::Permissions,
     submission_rates: submission_rate::SubmissionRates,
@@ -292,6 +294,7 @@
             evacuations: evacuation::Evacuations::default(),
             recent_starts: cold::RecentStarts::default(),
             arrivals: forecast::Arrivals::new(options.features),
+            interference: interference::Interference::default(),
             pace_control: pace::PaceControl::default(),
             permissions: permission::Permissions::default(),
             submission_rates: submission_rate::SubmissionRates::default(),
@@ -345,6 +348,7 @@
             self.issue_starts(now, &mut commands);
             self.issue_stops(now, &mut commands);
             self.adjust_paces(now, &mut commands);
+            self.separate_runs(now);
         }
         self.issue_holds(now, &mut commands);
         self.save(now, &mut commands);
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -259,9 +259,9 @@
     /// Returns the best endpoint for a task, or `None` if it fits nowhere.
     ///
     /// Endpoints on which the task hasn't failed come first, then those that aren't cold,
-    /// then those near its data, then those that aren't slower than others, then, for
-    /// long-running tasks, those with the most long-running runs, and then
-    /// those with the least free capacity.
+    /// then those near its data, then those with the least expected harm by interference,
+    /// then those that aren't slower than others, then, for long-running tasks, those with
+    /// the most long-running runs, and then those with the least free capacity.
     fn choose_endpoint(
         &self,
         now: Instant,
@@ -304,6 +304,7 @@
                     avoid.contains(&key),
                     self.cold_penalty(now, key, task),
                     remote,
+                    self.expected_harm(key, task),
                     self.pace_class(key, task),
                     Reverse(long_running_count),
                     free,
@@ -384,6 +385,7 @@
     /// Assigns a task to an endpoint. The start order is sent once the assignment is
     /// saved.
     fn plan(&mut self, now: Instant, task: TaskRef, key: EndpointKey, number: u64) {
+        self.log_expected_harm(now, key, task);
         let step = self.step(task);
         let (reserved, demand) = (step.reserved(), step.demand);
         let name = TaskName {
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use eyre::{Result, WrapErr};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -24,6 +24,7 @@
     store_writes: Counter<u64>,
     rejected_jobs: Counter<u64>,
     rejected_work: Counter<u64>,
+    interference_pairs: Gauge<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -75,6 +76,12 @@
                 "rhubarbrill_rejected_work",
                 "Estimated work of rejected jobs, in core milliseconds, by queue",
             ),
+            interference_pairs: meter
+                .u64_gauge("rhubarbrill_interference_pairs")
+                .with_description(
+                    "Known pairs of images that slow each other down, at the leader",
+                )
+                .build(),
             registry,
             _provider: provider,
         })
@@ -119,6 +126,11 @@
         self.rejected_work.add(work, &values);
     }
 
+    /// Sets the number of known pairs of images that slow each other down.
+    pub fn interference_pairs(&self, known: u64) {
+        self.interference_pairs.record(known, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
