--- a/crates/config/src/features.rs
+++ b/crates/config/src/features.rs
@@ -30,10 +30,6 @@
             Feature::EndpointPace,
             "Place tasks by the speed of endpoints.",
         ),
-        switch(
-            Feature::FairShare,
-            "Share full pools by the workspaces' weights.",
-        ),
         switch(
             Feature::FeasibleSet,
             "Serve the jobs that can end on time first.",
@@ -47,10 +43,6 @@
             "Separate tasks that slow each other down.",
         ),
         switch(Feature::RunTimeEstimates, "Learn run times by queue."),
-        switch(
-            Feature::WaveForecast,
-            "Plan waves with the expected demand.",
-        ),
     ],
 }];
 
--- a/crates/core/src/job/feature.rs
+++ b/crates/core/src/job/feature.rs
@@ -10,8 +10,6 @@
     /// The speed of endpoints is learned, and placement prefers those on which a task is
     /// expected to end first.
     EndpointPace,
-    /// Workspaces share the room of a full pool by their weights.
-    FairShare,
     /// Jobs that can end on time start before those that can't, which only get the capacity
     /// that is left.
     FeasibleSet,
@@ -21,22 +19,18 @@
     Interference,
     /// Run times are learned by queue, and correct the estimates of callers.
     RunTimeEstimates,
-    /// Maintenance waves are planned with the expected demand of pools.
-    WaveForecast,
 }
 
 impl Feature {
     /// Every feature, in order of name.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 7] = [
         Self::Admission,
         Self::DemandPatterns,
         Self::EndpointPace,
-        Self::FairShare,
         Self::FeasibleSet,
         Self::HandOver,
         Self::Interference,
         Self::RunTimeEstimates,
-        Self::WaveForecast,
     ];
 
     /// Returns the name used in settings and logs.
@@ -45,12 +39,10 @@
             Self::Admission => "admission",
             Self::DemandPatterns => "demand-patterns",
             Self::EndpointPace => "endpoint-pace",
-            Self::FairShare => "fair-share",
             Self::FeasibleSet => "feasible-set",
             Self::HandOver => "hand-over",
             Self::Interference => "interference",
             Self::RunTimeEstimates => "run-time-estimates",
-            Self::WaveForecast => "wave-forecast",
         }
     }
 
