Move tasks of steps without max_unavailable one after the other

Cause: a step without max_unavailable lost one task in the zone every 100 ms, also where no endpoint had room for it.

Ruled out: is_suitable as it is, because it asks for a permit of the placement policy, which is only requested for waiting tasks, so running ones would never move.

Change: a task of such a step is stopped only while all others of its step are in service and an endpoint outside accepts it and has room for it. The case no_limit of long_running_tasks_move_with_their_checkpoints expects one task out of service instead of three, which is stricter; a new case has no room elsewhere at first.

Conclusion: such a step has at most one task out of service. It stays in the zone for as long as another task of it isn't in service or its pool is full.

--- a/crates/core/src/job/scheduler/evacuation.rs
+++ b/crates/core/src/job/scheduler/evacuation.rs
@@ -3,7 +3,7 @@
 //! An evacuated zone receives no starts, and its hosts stay in their pools. Tasks that end
 //! on their own finish there. Long-running tasks are stopped, so that they start elsewhere
 //! from their checkpoints: of each step one after the other, and within its
-//! `max_unavailable`.
+//! `max_unavailable`. A step without this limit has one task out of service at a time.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -211,10 +211,7 @@
         let mut steps: BTreeSet<(JobKey, u32, u32)> = BTreeSet::new();
         for (run, task) in running {
             let step = (task.job, task.occurrence, task.step);
-            if steps.contains(&step)
-                || !self.may_be_unavailable(task)
-                || !self.is_served_elsewhere(now, task)
-            {
+            if steps.contains(&step) || !self.may_relocate(now, task) {
                 continue;
             }
             steps.insert(step);
@@ -222,6 +219,30 @@
         }
     }
 
+    /// Returns whether a long-running task may be stopped to start outside its zone.
+    ///
+    /// A step without `max_unavailable` could lose all its tasks in the zone at once, so
+    /// its tasks move only while all others of the step are in service, and only if there
+    /// is room for them now.
+    fn may_relocate(&self, now: Instant, task: TaskRef) -> bool {
+        if self.step(task).max_unavailable.is_some() {
+            return self.may_be_unavailable(task) && self.is_served_elsewhere(now, task);
+        }
+        self.are_others_serving(task) && self.has_room_elsewhere(now, task)
+    }
+
+    /// Returns whether an endpoint of the task's pool that accepts work has room for it.
+    fn has_room_elsewhere(&self, now: Instant, task: TaskRef) -> bool {
+        let pool = self.pool_of(&self.jobs[task.job].record);
+        let reserved = self.step(task).reserved();
+        self.endpoints.iter().any(|(key, endpoint)| {
+            let registration = &endpoint.registration;
+            registration.pool == pool
+                && self.accepts_task(now, task, key)
+                && reserved.fits(&endpoint.used, &registration.capacity)
+        })
+    }
+
     /// Returns whether the pool of a task has an endpoint that accepts work and could run
     /// it once there is capacity. Without one, the task continues in its zone.
     fn is_served_elsewhere(&self, now: Instant, task: TaskRef) -> bool {
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -315,6 +315,17 @@
         now: Instant,
         task: TaskRef,
         key: EndpointKey,
+    ) -> bool {
+        self.accepts_task(now, task, key) && self.is_permitted(now, task, key)
+    }
+
+    /// Returns whether an endpoint accepts work and the step permits it for a task, apart
+    /// from a placement policy, which is only asked about waiting tasks.
+    pub(super) fn accepts_task(
+        &self,
+        now: Instant,
+        task: TaskRef,
+        key: EndpointKey,
     ) -> bool {
         let endpoint = &self.endpoints[key];
         let step = self.step(task);
@@ -322,7 +333,6 @@
             && (step.requires.is_empty()
                 || endpoint.registration.labels.contains(&step.requires))
             && self.is_within_endpoint_limit(task, step, key)
-            && self.is_permitted(now, task, key)
     }
 
     /// Returns the number of long-running runs on an endpoint.
--- a/crates/core/src/job/scheduler/wave.rs
+++ b/crates/core/src/job/scheduler/wave.rs
@@ -382,6 +382,19 @@
         count < most as usize
     }
 
+    /// Returns whether every other task of a task's step is in service.
+    pub(super) fn are_others_serving(&self, task: TaskRef) -> bool {
+        let Some(occurrence) = self.jobs[task.job].occurrences.get(&task.occurrence)
+        else {
+            return false;
+        };
+        let tasks = &occurrence.groups[task.step as usize].tasks;
+        tasks.iter().enumerate().all(|(index, other)| {
+            index == task.index as usize
+                || other.runs.iter().any(|&run| self.is_serving(run))
+        })
+    }
+
     /// Returns whether a run is known to be executing and reports 100 % progress.
     fn is_serving(&self, run: RunKey) -> bool {
         let run = &self.runs[run];
--- a/crates/core/tests/job_evacuation.rs
+++ b/crates/core/tests/job_evacuation.rs
@@ -106,7 +106,7 @@
 #[rstest]
 #[case::one_at_a_time(Some(1), 1)]
 #[case::two_at_a_time(Some(2), 2)]
-#[case::no_limit(None, 3)]
+#[case::no_limit(None, 1)]
 #[case::none_may_stop(Some(0), 0)]
 fn long_running_tasks_move_with_their_checkpoints(
     #[case] max_unavailable: Option<u32>,
@@ -145,6 +145,34 @@
     assert_eq!(moved.count(), tasks - left);
 }
 
+/// The fault would be a step without `max_unavailable` that loses a task although all other
+/// endpoints are full.
+#[test]
+fn task_without_limit_stays_until_there_is_room() {
+    let mut simulation = simulation(3);
+    let long_running = Step {
+        long_running: true,
+        ..step(1, CAPACITY.cpu, 0)
+    };
+    simulation.submit("a", spec(vec![long_running]));
+    simulation.run_for(SECOND);
+    let endpoints = simulation.endpoints.iter();
+    let zone = endpoints
+        .filter(|(_, endpoint)| !endpoint.active_runs.is_empty())
+        .map(|(_, endpoint)| endpoint.report.zone.clone())
+        .next()
+        .expect("the task runs");
+    let batch = simulation.submit("a", spec(vec![step(2, CAPACITY.cpu, 3_000)]));
+    simulation.run_for(SECOND / 2);
+    simulation.evacuate(&[&zone]);
+    simulation.run_for(SECOND);
+    assert_eq!(active_in(&simulation, &zone), 1);
+    assert!(simulation.run_until_finished(&batch, 5 * SECOND));
+    simulation.run_for(SECOND);
+    assert_eq!(active_in(&simulation, &zone), 0);
+    assert_eq!(simulation.active_run_count(), 1);
+}
+
 /// A start without an answer may arrive seconds later; it is rejected then.
 #[test]
 fn start_that_arrives_late_is_withdrawn() {
