Subtract the age of a registration from its cold time

Cause: a new leader counted cold-remaining-ms from when it read the registration, so endpoints that are long warm were cold again.

Ruled out: using the wall clock (clocks of hosts differ). A registration without a known reading of the endpoint's clock, as after a newer incarnation was reported, has no age.

Change: a reply with a reading of the endpoint's clock shortens the cold time by the age of the registration, and a later registration is read with its age.

Conclusion: until its first reply an endpoint still counts as cold for the reported time, and receives no tasks.

--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -265,6 +265,16 @@
         self.clock.reading_ms + u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns how long ago at least the registration was written; `None` if the reading of
+    /// the endpoint's clock at that time isn't known.
+    pub(super) fn registration_age(&self, now: Instant) -> Option<Duration> {
+        let written_ms = self.registration.clock_ms;
+        let age_ms = self
+            .lease_end(now, Duration::ZERO)
+            .saturating_sub(written_ms);
+        (written_ms > 0).then_some(Duration::from_millis(age_ms))
+    }
+
     /// Returns the highest sequence number such that this end and all earlier ones are in
     /// the store.
     pub(super) fn acknowledged(&self) -> u64 {
--- a/crates/core/src/job/scheduler/cold.rs
+++ b/crates/core/src/job/scheduler/cold.rs
@@ -83,7 +83,10 @@
             .pool(&registration.pool)
             .map(|pool| pool.cold_start)
             .filter(|longest| !longest.is_zero());
-        let reported = registration.cold_remaining;
+        let age = self.endpoints[key].registration_age(now);
+        let reported = registration
+            .cold_remaining
+            .saturating_sub(age.unwrap_or_default());
         let remaining = longest.map_or(reported, |longest| reported.min(longest));
         let was_cold = self.is_cold(now, key);
         let endpoint = &mut self.endpoints[key];
@@ -96,6 +99,17 @@
         }
     }
 
+    /// Shortens the time for which an endpoint is cold by the age of its registration, after
+    /// a reply with a reading of its clock. The first registration that a new leader reads
+    /// may have been written long ago.
+    pub(super) fn shorten_cold(&mut self, now: Instant, key: EndpointKey) {
+        let endpoint = &mut self.endpoints[key];
+        if let Some(age) = endpoint.registration_age(now) {
+            let remaining = endpoint.registration.cold_remaining.saturating_sub(age);
+            endpoint.cold_until = endpoint.cold_until.min(now + remaining);
+        }
+    }
+
     /// Returns whether an endpoint is still slow after its start.
     pub(super) fn is_cold(&self, now: Instant, key: EndpointKey) -> bool {
         now < self.endpoints[key].cold_until
--- a/crates/core/src/job/scheduler/reply.rs
+++ b/crates/core/src/job/scheduler/reply.rs
@@ -218,7 +218,9 @@
             OrderOutcome::Done(clock) | OrderOutcome::Rejected(_, clock) => {
                 if let Some(clock_ms) = clock {
                     endpoint.read_clock(clock_ms, now);
+                    self.shorten_cold(now, key);
                 }
+                let endpoint = &mut self.endpoints[key];
                 endpoint.replied_at = Some(now);
                 if endpoint.reachability == Reachability::Doubtful {
                     endpoint.next_hold = now;
--- a/crates/core/tests/job_cold.rs
+++ b/crates/core/tests/job_cold.rs
@@ -111,3 +111,38 @@
     simulation.run_for(SECOND);
     assert_eq!(cold_starts(&simulation).len(), 1);
 }
+
+/// The fault would be a new leader that counts the time from when it read the registration,
+/// so that endpoints that are long warm count as cold again.
+#[test]
+fn new_leader_subtracts_the_age_of_the_registration() {
+    let mut simulation = Simulation::new(configuration(&["a"]));
+    simulation.run_for(SECOND);
+    simulation.cold_remaining = COLD;
+    simulation.add_hosts("a", 1);
+    let written_ms = simulation.wall_time().as_millis();
+    for endpoint in simulation.endpoints.values_mut() {
+        endpoint.report.clock_ms = written_ms;
+    }
+    simulation.run_for(COLD / 2);
+    simulation.elect_new_leader(false);
+    simulation.run_for(SECOND / 5);
+    let id = simulation.submit("a", spec(vec![step(8, CAPACITY.cpu / 8, 100)]));
+    simulation.run_for(SECOND / 20);
+    assert_eq!(
+        simulation.observed.starts.len(),
+        4,
+        "the endpoint is still cold"
+    );
+    assert!(simulation.run_until_finished(&id, SECOND));
+    simulation.run_for(COLD / 2);
+    simulation.elect_new_leader(false);
+    simulation.run_for(SECOND / 5);
+    simulation.submit("a", spec(vec![step(8, CAPACITY.cpu / 8, 100)]));
+    simulation.run_for(SECOND / 20);
+    assert_eq!(
+        simulation.observed.starts.len(),
+        8 + 8,
+        "the endpoint is warm"
+    );
+}
