Leave hosts of evacuated zones out of the fleet's capacity

Cause: the needs of pools were limited to a capacity that includes hosts on which nothing may start.

Ruled out: nothing else was tried.

Change: fleet_capacity counts hosts of zones in use only.

Conclusion: a shortage that the evacuation causes is logged, and pools share what is left.

--- a/crates/core/src/job/scheduler/fleet.rs
+++ b/crates/core/src/job/scheduler/fleet.rs
@@ -33,11 +33,14 @@
         }
     }
 
-    /// Returns the capacity of all hosts that are in a pool or on their way to one.
+    /// Returns the capacity of all hosts that are in a pool or on their way to one, except
+    /// those in evacuated zones.
     fn fleet_capacity(&self) -> Resource {
         let hosts = self.hosts.list.values();
-        let usable =
-            hosts.filter(|host| matches!(host.state, HostState::Up | HostState::Moving));
+        let usable = hosts.filter(|host| {
+            matches!(host.state, HostState::Up | HostState::Moving)
+                && !self.is_zone_evacuated(&host.zone)
+        });
         total(usable.map(|host| host.capacity))
     }
 
--- a/crates/core/tests/job_evacuation.rs
+++ b/crates/core/tests/job_evacuation.rs
@@ -204,6 +204,21 @@
     assert!(moves.iter().all(|(_, host, _)| !of_zone(host)), "{moves:?}");
 }
 
+/// The fault would be pools that share capacity which nothing may start on.
+#[test]
+fn hosts_of_the_zone_are_not_shared_between_pools() {
+    let mut simulation = simulation_with_spare(6, 3);
+    simulation.evacuate(&["z0"]);
+    simulation.submit("a", spec(vec![step(40, CAPACITY.cpu, 4_000)]));
+    simulation.run_for(SECOND / 2);
+    let events = simulation.scheduler.take_events();
+    let held = events.iter().find_map(|event| match event {
+        SchedulerEvent::FleetShortage { held, .. } => Some(held.cpu),
+        _ => None,
+    });
+    assert_eq!(held, Some(6 * CAPACITY.cpu));
+}
+
 /// The fault would be a zone that stays unused after its return, because its hosts left
 /// or its endpoints remain closed. The first poll after the return must place tasks in it,
 /// and the next one must start them, as their assignment is saved in between.
