Report on a zone again that is requested after a quick return

Ruled out: nothing else was tried.

Change: the last reported progress of a zone is forgotten when the zone is added.

Measured: job_evacuation 21 passed, with a new case; job_cold 6 passed.

Conclusion: fixed where the leader sees the return. If it sees the removal and the new request as one change, there is still no new report.

--- a/crates/core/src/job/scheduler/evacuation.rs
+++ b/crates/core/src/job/scheduler/evacuation.rs
@@ -109,6 +109,11 @@
                 logged: false,
             };
             self.evacuations.zones.insert(zone.clone(), evacuation);
+            // Whoever made the request waits for a report that is newer than it, also if
+            // the progress is the same as in the last one.
+            if let Some(stored) = self.evacuations.reports.get_mut(&zone) {
+                stored.progress = None;
+            }
             let progress = self.evacuation_progress(&zone);
             self.events
                 .push(SchedulerEvent::ZoneEvacuating { zone, progress });
--- a/crates/core/tests/job_evacuation.rs
+++ b/crates/core/tests/job_evacuation.rs
@@ -317,6 +317,22 @@
     assert_eq!(removal[0].1.progress, None);
 }
 
+/// The fault would be an operator who waits in vain for a report on the second request, as
+/// the progress is the same as in the last report on the first one.
+#[test]
+fn second_request_is_reported_on_after_a_quick_return() {
+    let mut simulation = simulation(3);
+    simulation.evacuate(&["z0"]);
+    simulation.run_for(2 * SECOND);
+    let reports = simulation.observed.evacuations.len();
+    simulation.evacuate(&[]);
+    simulation.evacuate(&["z0"]);
+    simulation.run_for(2 * SECOND);
+    let later = &simulation.observed.evacuations[reports..];
+    assert_eq!(later.len(), 1);
+    assert_eq!(later[0].1.progress, Some(EvacuationProgress::default()));
+}
+
 /// The request was withdrawn while there was no leader. The fault would be a report that
 /// stays for ever.
 #[test]
