Let tasks use the only GPU of a cold endpoint

Cause: half of one GPU was rounded to none, so no GPU task could start on a cold endpoint with one GPU.

Ruled out: rounding up (it would permit two of three GPUs).

Change: the half applies to amounts above one.

Conclusion: a cold endpoint's single GPU is used if no warm one has capacity.

--- a/crates/core/src/job/scheduler/cold.rs
+++ b/crates/core/src/job/scheduler/cold.rs
@@ -138,10 +138,12 @@
         }
         let endpoint = &self.endpoints[key];
         let capacity = &endpoint.registration.capacity;
+        // Half of a single GPU would be none.
+        let half = |amount: u64| if amount > 1 { amount / 2 } else { amount };
         let usable = Resource {
-            cpu: capacity.cpu / 2,
-            memory_mb: capacity.memory_mb / 2,
-            gpu: capacity.gpu / 2,
+            cpu: half(capacity.cpu),
+            memory_mb: half(capacity.memory_mb),
+            gpu: half(capacity.gpu),
         };
         let runs = endpoint.runs.iter();
         let planned =
--- a/crates/core/tests/job_cold.rs
+++ b/crates/core/tests/job_cold.rs
@@ -146,3 +146,21 @@
         "the endpoint is warm"
     );
 }
+
+/// The fault would be a task with a GPU that waits until the only endpoint, which has one
+/// GPU, is warm.
+#[test]
+fn single_gpu_of_a_cold_endpoint_is_used() {
+    let (mut simulation, _) = with_cold_hosts(0, 1, None);
+    let id = simulation.endpoints.keys().next().cloned();
+    let id = id.expect("there is one endpoint");
+    let endpoint = simulation.endpoints.get_mut(&id).expect("it was listed");
+    endpoint.report.capacity.gpu = 1;
+    let report = endpoint.report.clone();
+    simulation.scheduler.set_endpoint(simulation.now, report);
+    let mut with_gpu = step(1, 1_000, 100);
+    with_gpu.demand.gpu = 1;
+    simulation.submit("a", spec(vec![with_gpu]));
+    simulation.run_for(SECOND / 5);
+    assert_eq!(cold_starts(&simulation).len(), 1);
+}
