Revoke the lease of a leader's record whose write was cancelled

Cause: a planned stop or a deposition cancels the renewals while the record is being written under a new lease. The record may exist then, and its lease isn't revoked, so no election succeeds until it expires.

Ruled out: letting the write finish before the term ends (it would hold up a planned stop for the timeouts of up to four attempts).

Change: the record remembers the lease that it is being written under, and the end of the term revokes that lease too. A write that arrives after that fails because its lease is gone.

No test cancels the renewals in the middle of the write.

Conclusion: the record can't outlast the term if the store answers the revocation.

--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -200,6 +200,8 @@
         leader: 0,
         counter: leadership.term.fencing_token,
     };
+    // A cancelled write may still take effect, so the end of the term revokes this lease too.
+    leadership.record.prepare(lease);
     match write_record(node, &leadership.record.own, &lease, &expected, None).await {
         Some(revision) => Reclaim::Done { revision, lease },
         None => Reclaim::Lost,
--- a/crates/dispatch/src/lead/record.rs
+++ b/crates/dispatch/src/lead/record.rs
@@ -14,6 +14,9 @@
     pub(super) own: Leader,
     revision: Cell<u64>,
     lease: Cell<Lease>,
+    /// Lease under which the record is being written again. The record may exist under it,
+    /// even if the write was cancelled.
+    next_lease: Cell<Option<Lease>>,
     gone: Notify,
 }
 
@@ -24,6 +27,7 @@
             own,
             revision: Cell::new(revision),
             lease: Cell::new(lease),
+            next_lease: Cell::new(None),
             gone: Notify::new(),
         }
     }
@@ -38,10 +42,21 @@
         self.lease.get()
     }
 
+    /// Returns every lease that the record may be attached to.
+    pub(super) fn possible_leases(&self) -> impl Iterator<Item = Lease> {
+        std::iter::once(self.lease.get()).chain(self.next_lease.get())
+    }
+
+    /// Records that the record is about to be written again under `lease`.
+    pub(super) fn prepare(&self, lease: Lease) {
+        self.next_lease.set(Some(lease));
+    }
+
     /// Records that the record was written again after its lease had ended.
     pub(super) fn replace(&self, revision: u64, lease: Lease) {
         self.revision.set(revision);
         self.lease.set(lease);
+        self.next_lease.set(None);
     }
 
     /// Returns whether a leader's record was written by this process. Its revision may be
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -115,13 +115,10 @@
     *shared.node.leader_deltas.borrow_mut() = None;
     // The tasks end once `done` is cancelled; a failure in them has been logged.
     let _ = tokio::join!(renewal, listing, ordering, following);
-    // If the call gets no answer, the lease expires.
-    let _ = shared
-        .node
-        .platform
-        .store()
-        .revoke(shared.leadership.record.lease().id)
-        .await;
+    for lease in shared.leadership.record.possible_leases() {
+        // If the call gets no answer, the lease expires.
+        let _ = shared.node.platform.store().revoke(lease.id).await;
+    }
     log_term(&shared, Event::TermEnded);
 }
 
