Try a refused write of the leader's record again

Cause: when a leader writes its record again, one refused transaction counts as if another process led, and ends the term although nothing was done.

Ruled out: trying again after an unknown outcome as well (the record may exist under the earlier lease, and a second one would conflict with it).

Change: the write tells won, conflict, not done and unknown apart. Not done without an earlier unknown outcome means that the next renewal tries again. The documentation of Lost names the unknown outcome.

Measured: refused_write_of_the_leaders_record_is_tried_again fails without the change (TermEnded in the log) and passes with it.

Conclusion: a refusal no longer costs a term.

--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -66,12 +66,26 @@
 pub(super) enum Reclaim {
     /// The record was written at this revision, attached to this lease.
     Done { revision: u64, lease: Lease },
-    /// Another process leads or has led, or may do so.
+    /// Another process leads or has led, or the record may have been written without an
+    /// answer.
     Lost,
-    /// The store granted no lease.
+    /// The store granted no lease, or certainly didn't write the record.
     Unavailable,
 }
 
+/// The outcome of a transaction that writes the leader's record.
+#[derive(Clone, Copy, Debug)]
+enum Written {
+    /// The record was written at this revision.
+    Won(u64),
+    /// The store was in another state than expected.
+    Conflict,
+    /// The record was certainly not written.
+    NotDone,
+    /// The record may have been written.
+    Unknown,
+}
+
 /// The state of the store in which a leader's record may be written.
 #[derive(Debug)]
 struct Expected {
@@ -173,7 +187,10 @@
         counter: counter.map_or(0, |counter| counter.revision),
     };
     let next = TermCounter { number };
-    let fencing_token = write_record(node, own, &lease, &expected, Some(next)).await?;
+    let written = write_record(node, own, &lease, &expected, Some(next)).await;
+    let Written::Won(fencing_token) = written else {
+        return None;
+    };
     Some(Leadership {
         term: Term {
             fencing_token,
@@ -203,25 +220,29 @@
     // A cancelled write may still take effect, so the end of the term revokes this lease too.
     leadership.record.prepare(lease);
     match write_record(node, &leadership.record.own, &lease, &expected, None).await {
-        Some(revision) => Reclaim::Done { revision, lease },
-        None => Reclaim::Lost,
+        Written::Won(revision) => Reclaim::Done { revision, lease },
+        Written::Conflict | Written::Unknown => Reclaim::Lost,
+        Written::NotDone => Reclaim::Unavailable,
     }
 }
 
-/// Writes the leader's record and, for a new term, its counter. Returns the store revision
-/// of the record; otherwise ends the lease and returns `None`.
+/// Writes the leader's record and, for a new term, its counter. Ends the lease unless the
+/// record was certainly written.
 async fn write_record<P: Platform>(
     node: &Node<P>,
     own: &Leader,
     lease: &Lease,
     expected: &Expected,
     counter: Option<TermCounter>,
-) -> Option<u64> {
-    let leader = serde_json::to_vec(own).ok()?;
+) -> Written {
+    let counter = counter
+        .map(|counter| serde_json::to_vec(&counter))
+        .transpose();
+    let (Ok(leader), Ok(counter)) = (serde_json::to_vec(own), counter) else {
+        return Written::NotDone;
+    };
     let mut writes = vec![write(key::LEADER, leader.clone(), Some(lease.id))];
-    if let Some(counter) = counter {
-        writes.push(write(key::TERM, serde_json::to_vec(&counter).ok()?, None));
-    }
+    writes.extend(counter.map(|counter| write(key::TERM, counter, None)));
     let transaction = Transaction {
         conditions: vec![
             condition(key::LEADER, expected.leader),
@@ -230,33 +251,37 @@
         writes,
         removals: Vec::new(),
     };
-    let revision = commit_until_certain(node, &transaction, &leader).await;
-    if revision.is_none() {
+    let written = commit_until_certain(node, &transaction, &leader).await;
+    if !matches!(written, Written::Won(_)) {
         // If this call is lost, the unused lease expires.
         let _ = node.platform.store().revoke(lease.id).await;
     }
-    revision
+    written
 }
 
-/// Sends the transaction until it is certain whether it took effect. Returns its revision
-/// if it did; gives up after [`COMMIT_ATTEMPTS`].
+/// Sends the transaction until it is certain whether it took effect; gives up after
+/// [`COMMIT_ATTEMPTS`]. A refusal tells nothing about an earlier attempt without an answer.
 async fn commit_until_certain<P: Platform>(
     node: &Node<P>,
     transaction: &Transaction,
     leader: &[u8],
-) -> Option<u64> {
+) -> Written {
+    let mut refused = Written::NotDone;
     for _ in 0..COMMIT_ATTEMPTS {
         match node.commit(transaction).await {
-            Ok(CommitOutcome::Done(revision)) => return Some(revision),
-            Ok(CommitOutcome::Conflict(items)) => return won_revision(&items, leader),
+            Ok(CommitOutcome::Done(revision)) => return Written::Won(revision),
+            Ok(CommitOutcome::Conflict(items)) => {
+                return won_revision(&items, leader)
+                    .map_or(Written::Conflict, Written::Won);
+            }
             Ok(CommitOutcome::LeaseNotFound)
             | Err(Failure::NotDone(_) | Failure::Compacted) => {
-                return None;
+                return refused;
             }
-            Err(Failure::Unknown(_)) => {}
+            Err(Failure::Unknown(_)) => refused = Written::Unknown,
         }
     }
-    None
+    Written::Unknown
 }
 
 fn won_revision(items: &[Item], leader: &[u8]) -> Option<u64> {
--- a/crates/rhubarbrilld/tests/outage.rs
+++ b/crates/rhubarbrilld/tests/outage.rs
@@ -133,6 +133,33 @@
     assert!(users.leader().is_some());
 }
 
+/// Guards against a term that ends because the store refuses to write the leader's record
+/// again, although nothing was done and the next attempt succeeds.
+#[test]
+fn refused_write_of_the_leaders_record_is_tried_again() {
+    let _alone = run_alone();
+    let folder = Folder::new();
+    let users = UserPlatform::start();
+    users.configure(1, "a", &["k"]);
+    let entries = [Entry::start(&folder, &users, "entry-0")];
+    wait_until("entry-0 leads", || users.leader().is_some());
+    let term = users.value("rhubarbrill/shared/term");
+    users.set_store_fault(StoreFault::WritesUnavailable);
+    users.revoke_lease(users.leader_lease());
+    wait_until("several writes are refused", || {
+        users.rejected_elections() >= 4
+    });
+    users.set_store_fault(StoreFault::None);
+    wait_until("a process leads", || users.leader().is_some());
+    wait_until("the term continues or ends", || {
+        count_events(&folder, &entries, "TermReclaimed") > 0
+            || count_events(&folder, &entries, "TermEnded") > 0
+    });
+    let log = entries[0].read_log(&folder);
+    assert!(!log.contains("TermEnded"), "{log}");
+    assert_eq!(users.value("rhubarbrill/shared/term"), term, "{log}");
+}
+
 /// The leader alone loses the store. Guards against a fleet without a leader until the
 /// lease expires, while the other entry hosts reach the store.
 #[rstest]
