Answer hand-over requests only while the hand-over is on

Cause: /store-reachable and /end-term are answered although Feature::HandOver is off, so a request can end the leader's lease.

Ruled out: checking the switch in front/status.rs as well (all requests pass hand_over::answer).

The documentation says that an unhandled request is returned as an error.

Conclusion: a fleet without the hand-over has no request that ends a lease.

--- a/crates/dispatch/src/front/hand_over.rs
+++ b/crates/dispatch/src/front/hand_over.rs
@@ -5,6 +5,7 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use rhubarbrill_core::job::Feature;
 use serde::{Deserialize, Serialize};
 
 use super::Answer;
@@ -44,13 +45,17 @@
     ended: bool,
 }
 
-/// Answers a request of a leader. Returns `None` for any other path or method.
+/// Answers a request of a leader. Returns the request as an error for any other path or
+/// method, and while the hand-over is switched off.
 pub(super) async fn answer<P: Platform>(
     node: &Node<P>,
     method: &Method,
     path: &str,
     request: Request<Incoming>,
 ) -> Result<Answer, Request<Incoming>> {
+    if !node.settings.features.contains(Feature::HandOver) {
+        return Err(request);
+    }
     match (method, path) {
         (&Method::POST, REACHABLE_PATH) => Ok(answer_reachable(node).await),
         (&Method::POST, END_TERM_PATH) => Ok(accept_end_term(node, request).await),
--- a/crates/rhubarbrilld/tests/outage.rs
+++ b/crates/rhubarbrilld/tests/outage.rs
@@ -133,6 +133,21 @@
     assert!(users.leader().is_some());
 }
 
+/// Guards against a lease that is ended by request although the hand-over is switched off.
+#[test]
+fn hand_over_requests_are_unknown_while_it_is_switched_off() {
+    let _alone = run_alone();
+    let folder = Folder::new();
+    let users = UserPlatform::start();
+    users.configure(1, "a", &["k"]);
+    let entry = Entry::start(&folder, &users, "entry-0");
+    for path in ["store-reachable", "end-term"] {
+        let url = format!("http://{}/{path}", entry.metrics);
+        let answer = agent().post(url).send("{}").unwrap();
+        assert_eq!(answer.status(), 404, "{path}");
+    }
+}
+
 /// Guards against a term that ends because the store refuses to write the leader's record
 /// again, although nothing was done and the next attempt succeeds.
 #[test]
