Name the reason of orders that expire after they were recorded

Cause: such an order is refused as "order not recorded in the store", which is wrong. A comment on the wait of a hold is figurative.

Ruled out: nothing else was considered.

Change: the reason is "order is too old to be sent", and the comment says what an order without an answer doesn't do.

No test covers the text.

Conclusion: the log names the right reason.

--- a/crates/core/src/job/scheduler/order.rs
+++ b/crates/core/src/job/scheduler/order.rs
@@ -17,7 +17,7 @@
 /// Longest wait on endpoints that have lately left orders unanswered. Together with the
 /// pause between two holds it is shorter than the timeout of an order, which is 300 ms or
 /// more. A reply therefore arrives within each timeout, and an order without an answer
-/// casts no doubt on its endpoint.
+/// doesn't make its endpoint count as unresponsive.
 const DOUBTED_HOLD_WAIT: Duration = Duration::from_millis(220);
 
 /// Pause between two holds of an endpoint, in which ends accumulate.
--- a/crates/dispatch/src/lead/hosts.rs
+++ b/crates/dispatch/src/lead/hosts.rs
@@ -28,6 +28,9 @@
 /// Reason of an order that was given up because its record couldn't be stored in time.
 const NOT_RECORDED: &str = "order not recorded in the store";
 
+/// Reason of an order that was given up because it expired after it was recorded.
+const TOO_OLD: &str = "order is too old to be sent";
+
 /// Lists the hosts periodically until the term ends.
 pub(super) async fn list<P: Platform>(shared: Rc<Shared<P>>, done: CancellationToken) {
     let mut unreachable = false;
@@ -156,7 +159,7 @@
     let fence = shared.leadership.term.fencing_token;
     let hosts = shared.node.platform.hosts();
     let outcome = match &pending.order {
-        _ if pending.is_expired(clock::now()) => HostOrderOutcome::Refused(NOT_RECORDED),
+        _ if pending.is_expired(clock::now()) => HostOrderOutcome::Refused(TOO_OLD),
         _ if !certain => HostOrderOutcome::Refused("leadership uncertain"),
         HostOrder::Move(order) => hosts.move_host(order, fence).await,
         HostOrder::Maintain(order) => hosts.begin_maintenance(order, fence).await,
