--- a/crates/standin/src/users/endpoint.rs
+++ b/crates/standin/src/users/endpoint.rs
@@ -87,6 +87,7 @@
         run,
         fencing_token,
         endpoint: id.to_owned(),
+        fence: fencing_token,
         at: Instant::now(),
     });
     (StatusCode::OK, json!({"clock-ms": clock_ms}))
