--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -7,7 +7,7 @@
 //! truncated response.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -192,6 +192,11 @@
 
     /// Sets the fault that applies to every request received in full from now on.
     pub fn set_fault(&self, fault: Fault) {
+        if fault == Fault::LargeResponse {
+            // Hashing the body for the first time takes most of a second in a build
+            // without optimization, which must not count against a caller's deadline.
+            LazyLock::force(&service::LARGE_RESPONSE);
+        }
         self.fault.send_replace(fault);
         self.server.set_refusing(fault == Fault::Refuse);
     }
