Log slow rounds of the leader, received jobs and how long a section failed

Ruled out: a line for each round. There are some hundred a second; only those of 100 ms or more, or for which the leader's task waited as long, are logged, and a histogram holds them all.

Change: event 240 with the time of each part of the round, the histogram rhubarbrill_leader_round, event 704 with the age of a job that the leader reads, failing_ms in event 211, and two rows with a backlog in rhubarbrill-measure job, which now runs with the landed features.

--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -99,6 +99,13 @@
         /// Why the job finished.
         reason: &'static str,
     },
+    /// A submitted job was added.
+    Received {
+        /// ID of the job.
+        job: String,
+        /// Time since its submission, by the clocks of its entry host and of the leader.
+        age: Duration,
+    },
     /// A new incarnation of an endpoint was added.
     EndpointUp {
         /// Identity of the endpoint.
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -174,6 +174,10 @@
         } else {
             apparent_age
         };
+        self.events.push(SchedulerEvent::Received {
+            job: id.to_owned(),
+            age: apparent_age,
+        });
         let arrived_at = now.saturating_sub(age);
         let queue = self.configuration.queue(&record.queue);
         let assigned_runs = progress
@@ -208,6 +212,11 @@
         }
     }
 
+    /// Returns the number of jobs that the scheduler holds.
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
     /// Returns the number of jobs that wait for their first start, by queue.
     pub fn pending(&self) -> BTreeMap<String, usize> {
         let mut pending = BTreeMap::new();
--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -13,6 +13,7 @@
 mod recovery;
 mod registrations;
 mod renewal;
+mod round;
 mod save;
 mod stall;
 mod takeover;
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -87,6 +87,10 @@
             );
             event::log(out, Event::JobInfeasible, fields);
         }
+        SchedulerEvent::Received { job, age } => {
+            let fields = o!("job" => job, "age_ms" => millis(age));
+            event::log(out, Event::JobReceived, fields);
+        }
         SchedulerEvent::Finished { job, state, reason } => {
             let state = format!("{state:?}");
             let fields = o!("job" => job, "state" => state, "reason" => reason);
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -22,6 +22,7 @@
 use super::election::Leadership;
 use super::orders::notify;
 use super::recovery::RecoveredState;
+use super::round::{Part, Round};
 use super::takeover::{self, LeaderState};
 use super::{hosts, notes, orders, renewal, save, stall};
 use crate::node::Node;
@@ -172,19 +173,22 @@
         handle(shared, &mut leader, message);
     }
     let mut last_authority = Authority::Certain;
+    let mut round = Round::new();
     loop {
         let wake = tokio::time::sleep(POLL_INTERVAL);
         tokio::select! {
             Some(message) = messages.recv() => {
+                round.begin();
                 handle(shared, &mut leader, message);
                 while let Ok(message) = messages.try_recv() {
                     handle(shared, &mut leader, message);
                 }
             }
             Some(deltas) = view_changes.recv() => {
+                round.begin();
                 apply_deltas(shared, &mut leader.scheduler, &deltas);
             }
-            () = wake => {}
+            () = wake => round.begin(),
             () = node.stopping.cancelled() => return,
         }
         while let Ok(deltas) = view_changes.try_recv() {
@@ -196,7 +200,9 @@
         stall::check(shared, &mut leader.watch_progress);
         let authority = shared.leadership.validity.authority();
         log_authority_change(shared, &mut last_authority, authority);
-        decide(shared, &mut leader, authority);
+        round.end_part(Part::Messages);
+        decide(shared, &mut leader, authority, &mut round);
+        round.end(shared, leader.scheduler.job_count());
     }
 }
 
@@ -204,15 +210,20 @@
     shared: &Rc<Shared<P>>,
     leader: &mut LeaderState,
     authority: Authority,
+    round: &mut Round,
 ) {
     let now = clock::now();
     let scheduler = &mut leader.scheduler;
     let mut commands = scheduler.poll(now, clock::wall_clock(), authority);
+    round.end_part(Part::Tasks);
     if now >= leader.next_hosts && authority == Authority::Certain {
         leader.next_hosts = now + HOST_POLL_INTERVAL;
         commands.extend(scheduler.poll_hosts(now));
     }
+    round.end_part(Part::Hosts);
     notes::write(&shared.node, scheduler.take_events());
+    round.end_part(Part::Log);
+    round.set_commands(commands.len());
     for command in commands {
         execute(shared, scheduler, command);
     }
@@ -228,6 +239,7 @@
             save::write_pending(shared, pending);
         }
     }
+    round.end_part(Part::Commands);
 }
 
 fn log_authority_change<P: Platform>(
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -25,6 +25,7 @@
     rejected_jobs: Counter<u64>,
     rejected_work: Counter<u64>,
     interference_pairs: Gauge<u64>,
+    leader_rounds: Histogram<f64>,
     _provider: SdkMeterProvider,
 }
 
@@ -82,6 +83,12 @@
                     "Known pairs of images that slow each other down, at the leader",
                 )
                 .build(),
+            leader_rounds: meter
+                .f64_histogram("rhubarbrill_leader_round")
+                .with_description("Duration of a round of the leader's task")
+                .with_unit("s")
+                .with_boundaries(BOUNDS_S.to_vec())
+                .build(),
             registry,
             _provider: provider,
         })
@@ -131,6 +138,11 @@
         self.interference_pairs.record(known, &[]);
     }
 
+    /// Records the duration of a round of the leader's task.
+    pub fn leader_round(&self, took: Duration) {
+        self.leader_rounds.record(took.as_secs_f64(), &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/dispatch/src/sync.rs
+++ b/crates/dispatch/src/sync.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rhubarbrill_core::time::Instant;
 use rhubarbrill_event::Event;
 use slog::o;
 use tokio::sync::Notify;
@@ -37,7 +38,10 @@
     as_of: u64,
     /// Store revision of the last change of each existing key.
     revisions: HashMap<String, u64>,
-    unreachable: bool,
+    /// When the first call failed since the last one that succeeded; `None` if none has.
+    failing_since: Option<Instant>,
+    /// Whether no call has succeeded yet.
+    is_new: bool,
     relist: &'a Notify,
 }
 
@@ -71,7 +75,8 @@
         pause,
         as_of: 0,
         revisions: HashMap::new(),
-        unreachable: true,
+        failing_since: None,
+        is_new: true,
         relist,
     };
     loop {
@@ -159,15 +164,26 @@
 
     fn mark_reachable(&mut self, as_of: u64) {
         self.as_of = self.as_of.max(as_of);
-        if std::mem::replace(&mut self.unreachable, false) {
-            let fields = o!("as_of" => as_of, "section" => self.section.as_str());
+        let is_new = std::mem::replace(&mut self.is_new, false);
+        let failing_since = self.failing_since.take();
+        if is_new || failing_since.is_some() {
+            let now = clock::now();
+            let failing = failing_since.map(|since| now.saturating_since(since));
+            let fields = o!(
+                "failing_ms" => event::millis(failing.unwrap_or_default()),
+                "as_of" => as_of,
+                "section" => self.section.as_str(),
+            );
             event::log(&self.node.log, Event::StoreReachable, fields);
         }
     }
 
     async fn handle_failure(&mut self, failure: &Failure) {
-        if !std::mem::replace(&mut self.unreachable, true) {
-            let age = self.node.store_age(clock::now());
+        let now = clock::now();
+        let is_first = self.failing_since.is_none();
+        self.failing_since.get_or_insert(now);
+        if is_first && !self.is_new {
+            let age = self.node.store_age(now);
             let fields = o!(
                 "reason" => failure.to_string(),
                 "section" => self.section.as_str(),
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -130,6 +130,9 @@
     HandOverChecked = 239, Warning,
         "The leader's lease renewals fail, so it asked other entry hosts whether they reach the store. If one does, the leader ends its term.",
         "If the leader has handed over, check its link to the store; otherwise check the store.";
+    RoundSlow = 240, Warning,
+        "A round of the leader's task took long, or the task had to wait long for it.",
+        "Give the entry hosts more processor time if it repeats.";
     PeerUp = 300, Info,
         "A peer responds to heartbeats.", "Nothing.";
     PeerDown = 301, Warning,
@@ -217,6 +220,8 @@
     JobsRemoved = 703, Info,
         "Finished jobs were removed from the store after their retention time.",
         "Nothing.";
+    JobReceived = 704, Info,
+        "The leader read a submitted job from the store.", "Nothing.";
     RunPlaced = 710, Info,
         "A run was placed on an endpoint.", "Nothing.";
     RunNotStarted = 711, Warning,
--- a/crates/measure/src/job.rs
+++ b/crates/measure/src/job.rs
@@ -11,7 +11,7 @@
     Options, OrderOutcome, RunReport, SaveOutcome, Scheduler, Start, Term,
 };
 use rhubarbrill_core::job::{
-    EndpointKey, Features, Record, Registration, Resource, Spec, Step,
+    EndpointKey, Feature, Record, Registration, Resource, Spec, Step,
 };
 use rhubarbrill_core::time::{Instant, Timestamp};
 
@@ -30,6 +30,14 @@
 /// Number of times that each decision is repeated; the mean time is reported.
 const ITERATIONS: u32 = 40;
 
+/// Features that are switched on, those of `deploy/features.ini`.
+const FEATURES: [Feature; 4] = [
+    Feature::DemandPatterns,
+    Feature::EndpointPace,
+    Feature::HandOver,
+    Feature::Interference,
+];
+
 /// Virtual time between two decisions.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -45,7 +53,10 @@
     measure: fn(&mut Bench) -> f64,
 }
 
-const DECISIONS: [Decision; 4] = [
+/// Number of tasks that wait for each endpoint of the pool with a backlog.
+const WAITING_TASKS_PER_ENDPOINT: usize = 80;
+
+const DECISIONS: [Decision; 6] = [
     Decision {
         name: "a round without news",
         measure: Bench::idle_poll,
@@ -62,6 +73,14 @@
         name: "a round on hosts",
         measure: Bench::host_poll,
     },
+    Decision {
+        name: "a round without news, with a backlog in one pool",
+        measure: Bench::backlog_poll,
+    },
+    Decision {
+        name: "a round that fills as many new endpoints in this pool",
+        measure: Bench::backlog_placement,
+    },
 ];
 
 /// A leader's scheduler over a synthetic fleet with running jobs, on a virtual clock.
@@ -104,7 +123,7 @@
                 overrun_permille: 1_500,
                 slack: 5,
             },
-            features: Features::NONE,
+            features: FEATURES.into_iter().collect(),
             host_orders_per_second: None,
         };
         let term = Term {
@@ -138,12 +157,18 @@
         bench
     }
 
-    /// Adds one job of a single step to the scheduler.
+    /// Adds one job of a single step to the scheduler, to each queue in turn.
     fn submit(&mut self) {
+        let number = self.jobs as usize % POOLS;
+        self.submit_to(number);
+    }
+
+    /// Adds one job of a single step to the queue with this number.
+    fn submit_to(&mut self, queue: usize) {
         self.jobs += 1;
         self.revision += 1;
         let wall_time = self.wall_time();
-        let queue = format!("q{}", self.jobs as usize % POOLS);
+        let queue = format!("q{queue}");
         let step = Step {
             count: TASKS_PER_JOB,
             demand: Resource {
@@ -276,6 +301,33 @@
             self.scheduler.poll_hosts(self.now);
         })
     }
+
+    /// Times a poll without new input while far more tasks wait than fit in the first pool.
+    fn backlog_poll(&mut self) -> f64 {
+        let endpoints = self.hosts.len() / POOLS;
+        for _ in 0..endpoints * WAITING_TASKS_PER_ENDPOINT / TASKS_PER_JOB as usize {
+            self.submit_to(0);
+        }
+        for _ in 0..4 {
+            self.poll();
+        }
+        mean_micros(|| self.poll())
+    }
+
+    /// Times the poll in which waiting tasks are placed on new endpoints, as many as the
+    /// first pool has.
+    fn backlog_placement(&mut self) -> f64 {
+        let first = self.hosts.len().next_multiple_of(POOLS);
+        let numbers = (first..2 * first).step_by(POOLS);
+        for host in numbers.map(bench_host) {
+            self.scheduler.set_endpoint(self.now, registration(&host));
+        }
+        // The first poll asks the new endpoints what they run.
+        self.poll();
+        let start = std::time::Instant::now();
+        self.poll();
+        start.elapsed().as_secs_f64() * 1e6
+    }
 }
 
 /// Returns the mean time of a decision in microseconds.
