Resolve a job's queue, pool and limit once for each configuration

Cause: the leader looked up the queue of a waiting task by name, in a list, for each endpoint that the task was compared with (to see whether a placement policy must permit it), and for each job in each round (to find its pool). Operators add 1,464 queues at 25.5 s. Each comparison then read a list of 1,500 names. After the outage some hundred tasks met some hundred endpoints that came up, and one round took up to 888 ms on half a core. The class of fault: the cost of the inner loop of a decision depends on something that grows without bound elsewhere.

Change: a job holds the placement policy of its queue, its pool and the resource limit of its workspace, set when it is read and when the configuration changes, over an index by name. The same cause elsewhere: limits of workspaces were looked up for each waiting task.

--- a/crates/core/src/job/configuration.rs
+++ b/crates/core/src/job/configuration.rs
@@ -1,8 +1,9 @@
 //! The part of the configuration that the job scheduler uses.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
-use super::Resource;
+use super::{Record, Resource};
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -107,6 +108,29 @@
         self.queues.iter().find(|queue| queue.name == name)
     }
 
+    /// Returns what is declared for a job with this record.
+    pub fn declarations(&self, record: &Record) -> Declarations<'_> {
+        Declarations {
+            queue: self.queue(&record.queue),
+            workspace: record
+                .workspace
+                .as_ref()
+                .and_then(|name| self.workspace(name)),
+        }
+    }
+
+    /// Returns an index by name, for lookups of many jobs.
+    pub fn index(&self) -> Index<'_> {
+        let queues = self.queues.iter();
+        let workspaces = self.workspaces.iter();
+        Index {
+            queues: queues.map(|queue| (queue.name.as_str(), queue)).collect(),
+            workspaces: workspaces
+                .map(|workspace| (workspace.name.as_str(), workspace))
+                .collect(),
+        }
+    }
+
     /// Returns the workspace that the given API key belongs to.
     pub fn workspace_by_key(&self, key: &str) -> Option<&Workspace> {
         self.workspaces
@@ -126,3 +150,30 @@
         self.pools.iter().find(|pool| pool.name == name)
     }
 }
+
+/// What a configuration declares for a job.
+#[derive(Clone, Copy, Debug)]
+pub struct Declarations<'a> {
+    /// The job's queue; `None` if it isn't declared.
+    pub queue: Option<&'a Queue>,
+    /// The job's workspace; `None` if it has none or it isn't declared.
+    pub workspace: Option<&'a Workspace>,
+}
+
+/// Queues and workspaces of a configuration by name.
+#[derive(Clone, Debug)]
+pub struct Index<'a> {
+    queues: HashMap<&'a str, &'a Queue>,
+    workspaces: HashMap<&'a str, &'a Workspace>,
+}
+
+impl<'a> Index<'a> {
+    /// Returns what is declared for a job with this record.
+    pub fn declarations(&self, record: &Record) -> Declarations<'a> {
+        let workspace = record.workspace.as_deref();
+        Declarations {
+            queue: self.queues.get(record.queue.as_str()).copied(),
+            workspace: workspace.and_then(|name| self.workspaces.get(name).copied()),
+        }
+    }
+}
--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::configuration::Queue;
+use super::configuration::{Declarations, PlacementPolicy, Queue};
 use super::record::{self, AssignedEndpoint, Progress};
-use super::{EndpointKey, Record, RunKey, Spec, State, Step};
+use super::{EndpointKey, Record, Resource, RunKey, Spec, State, Step};
 use crate::time::{Instant, Timestamp};
 
 slotmap::new_key_type! {
@@ -161,6 +161,8 @@
     /// estimates. The deadline follows from the estimates, so by longer run times a job
     /// would be late on arrival. Half of its slack stays for waiting.
     pub(super) max_run_time_percent: u64,
+    /// Placement policy whose permission each step needs before it starts.
+    pub(super) placement_policy: Option<PlacementPolicy>,
 }
 
 /// A job in progress.
@@ -173,6 +175,10 @@
     /// Whether the job exceeded its workspace's submission rate on arrival.
     pub(super) over_submission_rate: bool,
     pub(super) parameters: QueueParameters,
+    /// Name of the pool that runs the job's tasks.
+    pub(super) pool: String,
+    /// Resource limit of the job's workspace; 0 stands for no limit.
+    pub(super) limit: Resource,
     /// Run time of the job's tasks that latest starts allow for, in percent of the
     /// estimates.
     pub(super) run_time_percent: u64,
@@ -202,11 +208,12 @@
     pub(super) fn new(
         id: String,
         record: Record,
-        queue: Option<&Queue>,
+        declared: Declarations<'_>,
         progress: Option<Progress>,
         arrived_at: Instant,
     ) -> Self {
-        let parameters = QueueParameters::new(&record, queue);
+        let parameters = QueueParameters::new(&record, declared.queue);
+        let pool = record.pool.clone();
         let progress = progress.unwrap_or_default();
         let mut job = Self {
             id,
@@ -214,6 +221,8 @@
             arrived_at,
             over_submission_rate: false,
             parameters,
+            pool,
+            limit: Resource::default(),
             run_time_percent: 100,
             state: progress.state,
             first_open: progress.first_open,
@@ -235,9 +244,26 @@
             }
             job.occurrences.insert(saved.index, occurrence);
         }
+        job.configure(declared);
         job
     }
 
+    /// Takes over what a configuration declares for the job. Of a queue that was removed,
+    /// the job keeps the parameters, but needs no permission of its placement policy.
+    pub(super) fn configure(&mut self, declared: Declarations<'_>) {
+        if declared.queue.is_some() {
+            self.parameters = QueueParameters::new(&self.record, declared.queue);
+        }
+        self.parameters.placement_policy =
+            declared.queue.and_then(|queue| queue.placement_policy);
+        self.pool = declared
+            .queue
+            .map_or_else(|| self.record.pool.clone(), |queue| queue.pool.clone());
+        self.limit = declared
+            .workspace
+            .map_or_else(Resource::default, |workspace| workspace.limit);
+    }
+
     /// Returns how many occurrences the job has in total.
     pub(super) fn occurrence_count(&self) -> u32 {
         self.record
@@ -384,6 +410,7 @@
             attempts: queue.map_or(1, |queue| queue.attempts).max(1),
             late_after,
             max_run_time_percent: 100 + slack_ms.saturating_mul(50) / chain_ms.max(1),
+            placement_policy: queue.and_then(|queue| queue.placement_policy),
         }
     }
 }
--- a/crates/core/src/job/scheduler/backlog.rs
+++ b/crates/core/src/job/scheduler/backlog.rs
@@ -50,6 +50,6 @@
         }
         let run_ms = self.feasibility.mean_run_ms(&job.record.queue, step);
         let room = run.reserved.cpu * 1_000 / run_ms.max(1);
-        Some((self.pool_of(&job.record), room))
+        Some((job.pool.as_str(), room))
     }
 }
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -146,7 +146,7 @@
     fn outstanding(&self, now: Instant) -> BTreeMap<String, Outstanding> {
         let mut outstanding: BTreeMap<String, Outstanding> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
-            let pool = self.pool_of(&job.record).to_owned();
+            let pool = job.pool.clone();
             let entry = outstanding.entry(pool).or_default();
             let class = rank::rank(job, now).class;
             let late = class == Class::Late;
--- a/crates/core/src/job/scheduler/evacuation.rs
+++ b/crates/core/src/job/scheduler/evacuation.rs
@@ -238,7 +238,7 @@
 
     /// Returns whether an endpoint of the task's pool that accepts work has room for it.
     fn has_room_elsewhere(&self, now: Instant, task: TaskRef) -> bool {
-        let pool = self.pool_of(&self.jobs[task.job].record);
+        let pool = self.jobs[task.job].pool.as_str();
         let reserved = self.step(task).reserved();
         self.endpoints.iter().any(|(key, endpoint)| {
             let registration = &endpoint.registration;
@@ -251,7 +251,7 @@
     /// Returns whether the pool of a task has an endpoint that accepts work and could run
     /// it once there is capacity. Without one, the task continues in its zone.
     fn is_served_elsewhere(&self, now: Instant, task: TaskRef) -> bool {
-        let pool = self.pool_of(&self.jobs[task.job].record);
+        let pool = self.jobs[task.job].pool.as_str();
         let step = self.step(task);
         let reserved = step.reserved();
         self.endpoints.values().any(|endpoint| {
--- a/crates/core/src/job/scheduler/feasibility.rs
+++ b/crates/core/src/job/scheduler/feasibility.rs
@@ -207,7 +207,7 @@
             pools.map(|pool| (pool, Duration::ZERO)).collect();
         for &key in &timely {
             let job = &self.jobs[key];
-            let pool = self.pool_of(&job.record);
+            let pool = job.pool.as_str();
             let capacity = capacities.get(pool).copied().unwrap_or_default();
             match self.candidate(now, key, job, &capacity) {
                 Ok(candidate) => {
@@ -268,7 +268,7 @@
                 continue;
             }
             let job = &self.jobs[key];
-            let pool = self.pool_of(&job.record).to_owned();
+            let pool = job.pool.clone();
             let capacity = capacities.get(&pool).copied().unwrap_or_default();
             let remaining = self.remaining(now, job);
             self.events.push(SchedulerEvent::Excluded {
@@ -512,7 +512,7 @@
                 timely.contains(&key) && !self.feasibility.excluded.contains_key(&key);
             let amount = self.used_by(job);
             if !is_served && amount != Resource::default() {
-                let pool = self.pool_of(&job.record).to_owned();
+                let pool = job.pool.clone();
                 used.entry(pool).or_default().add(&amount);
             }
         }
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -5,7 +5,7 @@
 
 use super::{Scheduler, SchedulerEvent, rank};
 use crate::job::endpoint::Endpoint;
-use crate::job::live::{Job, QueueParameters};
+use crate::job::live::Job;
 use crate::job::{Configuration, EndpointKey, Progress, Record, Registration, State};
 use crate::time::{Instant, Timestamp};
 
@@ -32,10 +32,9 @@
 impl Scheduler {
     /// Replaces the configuration with a newer version.
     pub fn set_configuration(&mut self, configuration: Configuration) {
+        let index = configuration.index();
         for job in self.jobs.values_mut() {
-            if let Some(queue) = configuration.queue(&job.record.queue) {
-                job.parameters = QueueParameters::new(&job.record, Some(queue));
-            }
+            job.configure(index.declarations(&job.record));
         }
         self.configuration = configuration;
     }
@@ -179,21 +178,20 @@
             age: apparent_age,
         });
         let arrived_at = now.saturating_sub(age);
-        let queue = self.configuration.queue(&record.queue);
+        let declared = self.configuration.declarations(&record);
         let assigned_runs = progress
             .as_ref()
             .map(Progress::assigned_runs)
             .unwrap_or_default();
-        let mut job = Job::new(id.to_owned(), record, queue, progress, arrived_at);
+        let mut job = Job::new(id.to_owned(), record, declared, progress, arrived_at);
         job.progress_version = progress_version;
         job.over_submission_rate = !self.is_within_submission_rate(now, &job.record);
         if version >= self.term.start_revision
             && !job.over_submission_rate
             && !rank::is_late(&job, now)
         {
-            let pool = self.pool_of(&job.record).to_owned();
             self.arrivals
-                .record_job(now, apparent_age, &pool, &job.record);
+                .record_job(now, apparent_age, &job.pool, &job.record);
         }
         let key = self.jobs.insert(job);
         self.jobs_by_id.insert(id.to_owned(), key);
@@ -228,13 +226,6 @@
         pending
     }
 
-    /// Returns the pool that a job currently runs in.
-    pub(super) fn pool_of<'a>(&'a self, record: &'a Record) -> &'a str {
-        self.configuration
-            .queue(&record.queue)
-            .map_or(record.pool.as_str(), |queue| queue.pool.as_str())
-    }
-
     pub(super) fn open_occurrences(&mut self, now: Instant, wall: Timestamp) {
         for job in self.jobs.values_mut() {
             if !job.state.is_final() {
--- a/crates/core/src/job/scheduler/interference.rs
+++ b/crates/core/src/job/scheduler/interference.rs
@@ -404,7 +404,7 @@
         used: &BTreeMap<EndpointKey, Resource>,
     ) -> Option<EndpointKey> {
         let reserved = self.step(task).reserved();
-        let pool = self.pool_of(&self.jobs[task.job].record);
+        let pool = self.jobs[task.job].pool.as_str();
         let candidates = self.endpoints.iter().filter(|(key, endpoint)| {
             let used = used.get(key).unwrap_or(&endpoint.used);
             endpoint.registration.pool == pool
--- a/crates/core/src/job/scheduler/permission.rs
+++ b/crates/core/src/job/scheduler/permission.rs
@@ -12,6 +12,7 @@
 
 use super::{Command, Scheduler, SchedulerEvent};
 use crate::job::configuration::PlacementPolicy;
+use crate::job::live::Job;
 use crate::job::{EndpointKey, JobKey, TaskRef};
 use crate::time::Instant;
 
@@ -147,8 +148,7 @@
 impl Scheduler {
     /// Returns the placement policy of a job's queue, if it has one.
     pub(super) fn policy_of(&self, job: JobKey) -> Option<PlacementPolicy> {
-        let queue = &self.jobs[job].record.queue;
-        self.configuration.queue(queue)?.placement_policy
+        self.jobs[job].parameters.placement_policy
     }
 
     /// Returns whether the placement policy, if there is one, lets a task start on an
@@ -191,12 +191,8 @@
     /// Returns the jobs whose queue has a placement policy, in the order in which they
     /// start.
     fn jobs_with_policy(&self, now: Instant) -> Vec<JobKey> {
-        if self
-            .configuration
-            .queues
-            .iter()
-            .all(|queue| queue.placement_policy.is_none())
-        {
+        let has_policy = |job: &Job| job.parameters.placement_policy.is_some();
+        if !self.jobs.values().any(has_policy) {
             return Vec::new();
         }
         let ranked = self.ranked_jobs(now);
@@ -257,7 +253,7 @@
         let mut permitted = 0;
         let mut candidates = Vec::new();
         for (key, endpoint) in &self.endpoints {
-            if endpoint.registration.pool != self.pool_of(&job.record)
+            if endpoint.registration.pool != job.pool.as_str()
                 || !endpoint.accepts_work(now)
                 || !(spec.requires.is_empty()
                     || endpoint.registration.labels.contains(&spec.requires))
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -63,7 +63,7 @@
         rank: Rank,
         open_pools: &mut OpenPools,
     ) {
-        let pool = self.pool_of(&self.jobs[key].record).to_owned();
+        let pool = self.jobs[key].pool.clone();
         let open_pool = open_pools.entry(pool.clone()).or_default();
         for (occurrence, step) in self.ready_steps(key) {
             let mut waiting = self.waiting_tasks(now, key, occurrence, step);
@@ -367,10 +367,8 @@
 
     /// Returns whether a demand stays within the resource limit of the task's workspace.
     pub(super) fn is_within_limit(&self, task: TaskRef, demand: &Resource) -> bool {
-        let Some(workspace) = &self.jobs[task.job].record.workspace else {
-            return true;
-        };
-        let Some(limit) = self.configuration.workspace(workspace) else {
+        let job = &self.jobs[task.job];
+        let Some(workspace) = &job.record.workspace else {
             return true;
         };
         let used = self
@@ -378,7 +376,7 @@
             .get(workspace)
             .copied()
             .unwrap_or_default();
-        demand.is_within(&used, &limit.limit)
+        demand.is_within(&used, &job.limit)
     }
 
     pub(super) fn step(&self, task: TaskRef) -> &Step {
