Don't count the time without a lease as idle time of hosts

Cause: an idle host leaves its pool after 0.4 s. While the leader is uncertain of its lease nothing starts, so every host becomes idle; at the store's return, before any job of the outage is read, the leader sends away those that the last known demand doesn't need. The class of fault: the leader acts on what it believes after a time in which it couldn't know better.

Ruled out: moves that other pools asked for; the 57 went to the switched-off pool.

Change: a host's idle time begins at the earliest when the leader became certain of its lease.

Test: hosts_that_were_idle_in_an_outage_stay_when_it_ends.

The turn's jobs of the first 1.8 s after the return still end late, as hosts are ordered only then.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -252,6 +252,8 @@
     saves_in_flight: usize,
     last_save_at: Instant,
     deposed: bool,
+    /// Since when the leader has been certain of its lease; `None` while it isn't.
+    certain_since: Option<Instant>,
     hosts: hosts::Hosts,
     waves: wave::Waves,
     evacuations: evacuation::Evacuations,
@@ -289,6 +291,7 @@
             saves_in_flight: 0,
             last_save_at: now,
             deposed: false,
+            certain_since: None,
             hosts: hosts::Hosts::new(options.host_orders_per_second),
             waves: wave::Waves::default(),
             evacuations: evacuation::Evacuations::default(),
@@ -334,6 +337,8 @@
         authority: Authority,
     ) -> Vec<Command> {
         let mut commands = Vec::new();
+        let is_certain = authority == Authority::Certain;
+        self.certain_since = is_certain.then(|| self.certain_since.unwrap_or(now));
         if self.deposed || authority == Authority::Suspended {
             return commands;
         }
@@ -341,7 +346,7 @@
         self.open_occurrences(now, wall);
         self.update_run_times(now);
         self.update_pace_classes(now);
-        if authority == Authority::Certain {
+        if is_certain {
             self.stop_stragglers(now);
             self.place(now);
             self.issue_questions(now, &mut commands);
--- a/crates/core/src/job/scheduler/hosts.rs
+++ b/crates/core/src/job/scheduler/hosts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Scheduler;
-use crate::job::endpoint::Reachability;
+use crate::job::endpoint::{Endpoint, Reachability};
 use crate::job::order_rate::OrderRate;
 use crate::job::{EndpointKey, Resource};
 use crate::time::Instant;
@@ -159,7 +159,15 @@
         self.endpoints_by_id.get(id).copied()
     }
 
-    /// Returns whether a host is known to have been idle for at least `span`.
+    /// Returns since when an idle endpoint could have received tasks. While the leader is
+    /// uncertain, every endpoint becomes idle.
+    fn usable_since(&self, endpoint: &Endpoint) -> Instant {
+        let certain_since = self.certain_since.unwrap_or_default();
+        endpoint.idle_since.max(certain_since)
+    }
+
+    /// Returns whether a host is known to have been idle for at least `span`, in which the
+    /// leader could have started tasks on it.
     pub(super) fn is_host_idle(&self, now: Instant, host: &Host, span: Duration) -> bool {
         let Some(id) = &host.endpoint else {
             return false;
@@ -174,6 +182,6 @@
         endpoint.is_idle()
             && endpoint.reachability == Reachability::Reachable
             && !endpoint.registration.draining
-            && now.saturating_since(endpoint.idle_since) >= span
+            && now.saturating_since(self.usable_since(endpoint)) >= span
     }
 }
--- a/crates/core/tests/job_capacity.rs
+++ b/crates/core/tests/job_capacity.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use rhubarbrill_core::job::scheduler::{Options, SchedulerEvent};
+use rhubarbrill_core::job::scheduler::{Authority, Options, SchedulerEvent};
 use rhubarbrill_core::job::{Features, Resource, Step};
 use rstest::rstest;
 
@@ -178,3 +178,37 @@
     assert_eq!(most, Some(10), "orders in the second with the most");
     assert!(moves.len() >= 39, "{} hosts were ordered", moves.len());
 }
+
+/// Time after the store's return within which no job is submitted: callers that were
+/// refused return with a delay.
+const QUIET_TIME: Duration = Duration::from_millis(300);
+
+/// Load pattern: a queue's turn goes on through an outage of the store. Nothing starts
+/// meanwhile, so that all hosts of its pool are idle when the store returns.
+///
+/// Guards against hosts that leave their pool at that moment, and come back only after two
+/// moves: the leader took the time without a lease for time without work.
+#[test]
+fn hosts_that_were_idle_in_an_outage_stay_when_it_ends() {
+    let mut simulation = simulation_with_spare(20, 20);
+    for _ in 0..100 {
+        simulation.submit("a", spec(vec![step(4, CAPACITY.cpu / 4, 200)]));
+        simulation.run_for(SECOND / 100);
+    }
+    simulation.store_available = false;
+    simulation.run_for(SECOND);
+    simulation.authority = Authority::HoldOnly;
+    simulation.run_for(4 * SECOND);
+    assert_eq!(simulation.active_run_count(), 0, "runs end in the outage");
+    simulation.store_available = true;
+    simulation.authority = Authority::Certain;
+    let before = moves_to(&simulation, "spare");
+    simulation.run_for(QUIET_TIME);
+    assert_eq!(
+        moves_to(&simulation, "spare"),
+        before,
+        "hosts leave at once"
+    );
+    simulation.run_for(SECOND);
+    assert!(moves_to(&simulation, "spare") > before, "idle hosts stay");
+}
