List a section whose missed changes are too long for a watch

Cause: after a failed watch the next one asks for an answer at once, and must have it within 0.6 s. While 15 entry hosts were turned away for 9 s, operators wrote some twenty versions of a configuration with 1,500 queues. The watch asks for all of them; over 10 Mbit/s they take longer than 0.6 s, and the next watch asks for the same again, until the store has dropped the history after 20 s. The class of fault: a retry that asks for the same amount under the same timeout never gets further.

Ruled out: the refusals themselves.

Change: a response that began and isn't complete in time is told from one that never came. A watch that ends so is followed by a list of the section, which holds each key once.

Test: missed_changes_that_are_too_long_for_a_watch_are_listed, against a store whose long watches arrive by half.

A list of a section that takes longer than 2.5 s would still be tried again and again.

--- a/crates/dispatch/src/front/forwarding.rs
+++ b/crates/dispatch/src/front/forwarding.rs
@@ -83,7 +83,9 @@
         .await
     {
         Ok(body) => decode(&body).unwrap_or(SubmitOutcome::Unanswered),
-        Err(Failure::NotDone(_) | Failure::Compacted) => SubmitOutcome::TurnedAway,
+        Err(Failure::NotDone(_) | Failure::Compacted | Failure::TooLong) => {
+            SubmitOutcome::TurnedAway
+        }
         Err(Failure::Unknown(_)) => SubmitOutcome::Unanswered,
     }
 }
--- a/crates/dispatch/src/front/submit.rs
+++ b/crates/dispatch/src/front/submit.rs
@@ -174,11 +174,13 @@
                 ExistingEntry::Replaceable(at) => revision = at,
             },
             Ok(CommitOutcome::LeaseNotFound) => return SubmitOutcome::Unanswered,
-            Err(Failure::NotDone(_) | Failure::Compacted) if !uncertain => {
+            Err(Failure::NotDone(_) | Failure::Compacted | Failure::TooLong)
+                if !uncertain =>
+            {
                 node.metrics.store_write("not done");
                 return SubmitOutcome::TurnedAway;
             }
-            Err(Failure::NotDone(_) | Failure::Compacted) => {
+            Err(Failure::NotDone(_) | Failure::Compacted | Failure::TooLong) => {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
             Err(Failure::Unknown(_)) => {
--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -275,7 +275,7 @@
                     .map_or(Written::Conflict, Written::Won);
             }
             Ok(CommitOutcome::LeaseNotFound)
-            | Err(Failure::NotDone(_) | Failure::Compacted) => {
+            | Err(Failure::NotDone(_) | Failure::Compacted | Failure::TooLong) => {
                 return refused;
             }
             Err(Failure::Unknown(_)) => refused = Written::Unknown,
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -102,6 +102,8 @@
         let mut contact = self.store_contact.borrow_mut();
         match outcome {
             Ok(_) | Err(Failure::Compacted) => contact.record_answer(),
+            // The store has answered, or has fallen silent while it did.
+            Err(Failure::TooLong) => {}
             Err(Failure::NotDone(_) | Failure::Unknown(_)) => {
                 contact.record_failure(clock::now());
             }
--- a/crates/dispatch/src/platform.rs
+++ b/crates/dispatch/src/platform.rs
@@ -55,6 +55,9 @@
     /// The store no longer retains the revisions that a watch asked for.
     #[error("history no longer kept")]
     Compacted,
+    /// The changes that a watch asked for take longer to receive than a call may last.
+    #[error("changes too long to receive")]
+    TooLong,
 }
 
 /// A range of the store's keys that is listed and watched separately.
--- a/crates/dispatch/src/sync.rs
+++ b/crates/dispatch/src/sync.rs
@@ -131,8 +131,8 @@
         Ok(self.retain_newer(read))
     }
 
-    /// Watches changes until the store no longer retains the needed history or a listing is
-    /// requested.
+    /// Watches changes until the store no longer retains the needed history, the history is
+    /// too long to receive, or a listing is requested.
     async fn watch(&mut self, on_changes: &impl Fn(Changes)) {
         loop {
             let store = self.node.platform.store();
@@ -157,6 +157,12 @@
                     event::log(&self.node.log, Event::HistoryMissing, fields);
                     return;
                 }
+                // What exists now is shorter than its history, of which another watch
+                // would ask for the same part and more.
+                Err(failure @ Failure::TooLong) => {
+                    self.handle_failure(&failure).await;
+                    return;
+                }
                 Err(failure) => self.handle_failure(&failure).await,
             }
         }
--- a/crates/rhubarbrilld/tests/outage.rs
+++ b/crates/rhubarbrilld/tests/outage.rs
@@ -114,6 +114,39 @@
     assert_eq!(users.violations(), Vec::<String>::new());
 }
 
+/// Versions of the configuration that are written while the entry host can't reach the
+/// store.
+const MISSED_VERSIONS: u64 = 20;
+
+/// Longest answer to a watch that arrives completely, in bytes. One version of the
+/// configuration takes less, all that were missed take more.
+const MAX_WATCH_BYTES: usize = 4_000;
+
+/// Guards against an entry host that serves by an old configuration for as long as the store
+/// keeps history: the changes that it missed in an outage take longer to receive than a
+/// call may last, and each watch asks for all of them again.
+#[test]
+fn missed_changes_that_are_too_long_for_a_watch_are_listed() {
+    let _alone = run_alone();
+    let folder = Folder::new();
+    let users = UserPlatform::start();
+    users.configure(1, "a", &["k"]);
+    let entry = Entry::start(&folder, &users, "entry-0");
+    users.set_store_fault(StoreFault::Unavailable);
+    wait_until("the outage is noticed", || {
+        entry.read_log(&folder).matches("StoreUnreachable").count() >= 2
+    });
+    for version in 2..=MISSED_VERSIONS {
+        users.configure(version, "a", &["k"]);
+    }
+    users.configure(MISSED_VERSIONS + 1, "a", &["k", "new"]);
+    users.set_store_fault(StoreFault::LongWatchesCut(MAX_WATCH_BYTES));
+    wait_until("the newest configuration is in force", || {
+        let answer = entry.call("POST", &job_id(0), "new", &two_step_job(1));
+        answer.status == 200
+    });
+}
+
 /// Guards against a leader that loses its lease to a late request about an earlier record.
 #[test]
 fn request_to_end_an_earlier_lease_is_ignored() {
--- a/crates/standin/src/users/http.rs
+++ b/crates/standin/src/users/http.rs
@@ -1,18 +1,20 @@
 //! A server that handles JSON requests with access to the shared state.
 
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use tokio::task::LocalSet;
 
-use super::SharedState;
+use super::{SharedState, StoreFault};
 use crate::server::Server;
 
 /// A request as it is passed to a handler, with its body parsed as JSON.
@@ -46,6 +48,43 @@
 /// The status and body of a response; `None` closes the connection without a response.
 pub(crate) type Reply = Option<(StatusCode, Value)>;
 
+/// The first part of a response body, whose end never arrives.
+#[derive(Debug)]
+struct CutBody {
+    part: Option<Bytes>,
+    /// Length of the whole body, in bytes.
+    length: u64,
+}
+
+impl CutBody {
+    /// Returns a body of which only the first half arrives.
+    fn new(body: &Bytes) -> Self {
+        Self {
+            part: Some(body.slice(..body.len() / 2)),
+            length: body.len() as u64,
+        }
+    }
+}
+
+impl Body for CutBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        match self.part.take() {
+            Some(part) => Poll::Ready(Some(Ok(Frame::data(part)))),
+            None => Poll::Pending,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.length)
+    }
+}
+
 /// Starts a server on a free port that passes every request to `handler`.
 pub(crate) fn start<F, R>(shared: SharedState, handler: F) -> Server
 where
@@ -79,7 +118,7 @@
     shared: SharedState,
     handler: &F,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, std::io::Error>
+) -> Result<Response<Either<Full<Bytes>, CutBody>>, std::io::Error>
 where
     F: Fn(SharedState, ReceivedRequest) -> R,
     R: Future<Output = Reply>,
@@ -105,10 +144,20 @@
             .to_owned(),
         body: serde_json::from_slice(&body).unwrap_or_default(),
     };
-    let Some((status, value)) = handler(shared, call).await else {
+    let is_watch = call.path == "/kv-watch";
+    let Some((status, value)) = handler(shared.clone(), call).await else {
         return Err(std::io::Error::other("the handler gave no response"));
     };
-    let mut response = Response::new(Full::new(Bytes::from(value.to_string())));
+    let body = Bytes::from(value.to_string());
+    let is_cut = match shared.lock().store_fault {
+        StoreFault::LongWatchesCut(limit) => is_watch && body.len() > limit,
+        _ => false,
+    };
+    let mut response = Response::new(if is_cut {
+        Either::Right(CutBody::new(&body))
+    } else {
+        Either::Left(Full::new(body))
+    });
     *response.status_mut() = status;
     Ok(response)
 }
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -36,6 +36,9 @@
     WatchesSilent,
     /// Watches of the operators' keys receive no response.
     OperatorWatchesSilent,
+    /// Of responses to watches that are longer than this many bytes only the first half
+    /// arrives, as over a link that is too slow for them.
+    LongWatchesCut(usize),
     /// Every request is delayed by this many milliseconds.
     Delayed(u64),
 }
