Convert durations to milliseconds in one place

Cause: eleven places of the dispatch package wrote out the same conversion, and the notes had a function of their own for it.

Ruled out: a change of what is logged or written; the conversion is the same.

Change: clock::millis, used by events, records and messages.

Measured: not measured.

Conclusion: no behaviour changes.

--- a/crates/dispatch/src/clock.rs
+++ b/crates/dispatch/src/clock.rs
@@ -1,6 +1,6 @@
 //! Monotonic and wall clock readings.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rhubarbrill_core::time::{Instant, Timestamp};
 use rustix::time::{ClockId, clock_gettime};
@@ -21,5 +21,10 @@
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    Timestamp::from_millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    Timestamp::from_millis(millis(since))
+}
+
+/// Returns a duration in whole milliseconds.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -1,7 +1,5 @@
 //! Structured log events, one for each decision and each observed change of state.
 
-use std::time::Duration;
-
 use rhubarbrill_event::{Event, Severity};
 use slog::Logger;
 
@@ -18,8 +16,3 @@
         Severity::Alarm => slog::error!(log, "{}", name; "event" => number, fields),
     }
 }
-
-/// Returns a duration in milliseconds, for a field of an event.
-pub fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/dispatch/src/front/admission.rs
+++ b/crates/dispatch/src/front/admission.rs
@@ -43,8 +43,8 @@
         "pool" => call.queue.pool.clone(),
         "wait_ms" => wait_ms,
         "path_ms" => spec.critical_path_ms(),
-        "retry_after_ms" => u64::try_from(delay.as_millis()).unwrap_or(u64::MAX),
-        "age_ms" => u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        "retry_after_ms" => clock::millis(delay),
+        "age_ms" => clock::millis(age),
     );
     event::log(&node.log, Event::JobNotAdmitted, fields);
     let answer = Answer::new(StatusCode::SERVICE_UNAVAILABLE, REASON)
--- a/crates/dispatch/src/front/forwarding.rs
+++ b/crates/dispatch/src/front/forwarding.rs
@@ -72,7 +72,7 @@
         queue: call.queue.name.clone(),
         key: call.key.clone(),
         spec,
-        patience_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        patience_ms: clock::millis(remaining),
     };
     let Ok(body) = serde_json::to_vec(&submission) else {
         return SubmitOutcome::TurnedAway;
--- a/crates/dispatch/src/front/request.rs
+++ b/crates/dispatch/src/front/request.rs
@@ -257,7 +257,7 @@
         let version = view.configuration.as_ref().map_or(0, |held| held.version);
         let fields = o!(
             "job" => call.map_or_else(String::new, |call| call.id.clone()),
-            "store_age_ms" => u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            "store_age_ms" => clock::millis(age),
             "method" => head.method.to_string(),
             "path" => head.uri.path().to_owned(),
             "queue" => labels.queue.to_owned(),
@@ -265,7 +265,7 @@
             "status" => status,
             "reason" => answer.reason,
             "retry_after_s" => answer.retry_after.map_or(0, |delay| delay.as_secs()),
-            "latency_ms" => u64::try_from(latency.as_millis()).unwrap_or(u64::MAX),
+            "latency_ms" => clock::millis(latency),
             "configuration" => version,
             "as_of" => view.as_of(),
         );
--- a/crates/dispatch/src/lead/hand_over.rs
+++ b/crates/dispatch/src/lead/hand_over.rs
@@ -11,10 +11,10 @@
 use slog::o;
 
 use super::term::Shared;
-use crate::event;
 use crate::front::hand_over::{END_TERM_PATH, EndTerm, REACHABLE_PATH, Reachable};
 use crate::platform::{Peers, Platform};
 use crate::view::decode;
+use crate::{clock, event};
 
 /// Timeout of the question whether an entry host reaches the store.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
@@ -57,7 +57,7 @@
     let reaching = answers.reaching.map(|address| address.to_string());
     let fields = o!(
         "fence" => shared.leadership.term.fencing_token,
-        "failing_ms" => u64::try_from(failing.as_millis()).unwrap_or(u64::MAX),
+        "failing_ms" => clock::millis(failing),
         "asked" => answers.asked,
         "reaching" => reaching.unwrap_or_default(),
         "handed_over" => hands_over,
--- a/crates/dispatch/src/lead/hosts.rs
+++ b/crates/dispatch/src/lead/hosts.rs
@@ -148,8 +148,8 @@
     let delay = pending.retry(now, batch);
     let fields = o!(
         "orders" => pending.len(),
-        "age_ms" => u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        "delay_ms" => u64::try_from(delay.as_millis()).unwrap_or(u64::MAX),
+        "age_ms" => clock::millis(age),
+        "delay_ms" => clock::millis(delay),
     );
     event::log(&shared.node.log, Event::HostOrdersPostponed, fields);
 }
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -8,6 +8,7 @@
 use rhubarbrill_event::Event;
 use slog::o;
 
+use crate::clock::millis;
 use crate::event;
 use crate::node::Node;
 
@@ -148,7 +149,7 @@
             event::log(out, Event::ZoneEvacuating, fields);
         }
         SchedulerEvent::ZoneEvacuated { zone, age } => {
-            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            let age_ms = millis(age);
             let fields = o!("zone" => zone, "age_ms" => age_ms);
             event::log(out, Event::ZoneEvacuated, fields);
         }
@@ -165,7 +166,7 @@
             endpoint,
             remaining,
         } => {
-            let cold_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+            let cold_ms = millis(remaining);
             let fields = o!("endpoint" => endpoint, "cold_ms" => cold_ms);
             event::log(out, Event::EndpointCold, fields);
         }
@@ -308,10 +309,6 @@
     }
 }
 
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn pair_changed<P>(node: &Node<P>, change: Change, known: usize) {
     node.metrics
         .interference_pairs(u64::try_from(known).unwrap_or(u64::MAX));
--- a/crates/dispatch/src/lead/recovery.rs
+++ b/crates/dispatch/src/lead/recovery.rs
@@ -8,6 +8,7 @@
 use rhubarbrill_core::job::scheduler::WaveProgress;
 use serde::{Deserialize, Serialize};
 
+use crate::clock;
 use crate::key::{self, Key};
 use crate::node::Node;
 use crate::platform::{Change, Content, Platform, Section};
@@ -34,7 +35,7 @@
         Self {
             done: progress.done,
             completed,
-            age_ms: u64::try_from(progress.age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: clock::millis(progress.age),
         }
     }
 
--- a/crates/dispatch/src/lead/round.rs
+++ b/crates/dispatch/src/lead/round.rs
@@ -10,7 +10,7 @@
 use slog::o;
 
 use super::term::Shared;
-use crate::event::millis;
+use crate::clock::millis;
 use crate::platform::Platform;
 use crate::{clock, event};
 
--- a/crates/dispatch/src/sync.rs
+++ b/crates/dispatch/src/sync.rs
@@ -176,7 +176,7 @@
             let now = clock::now();
             let failing = failing_since.map(|since| now.saturating_since(since));
             let fields = o!(
-                "failing_ms" => event::millis(failing.unwrap_or_default()),
+                "failing_ms" => clock::millis(failing.unwrap_or_default()),
                 "as_of" => as_of,
                 "section" => self.section.as_str(),
             );
