--- a/crates/dispatch/src/lead/round.rs
+++ b/crates/dispatch/src/lead/round.rs
@@ -14,7 +14,7 @@
 use crate::platform::Platform;
 use crate::{clock, event};
 
-/// Duration from which a round is logged, and from which a wait for the next round is.
+/// Duration from which a round, or the wait for it, is logged.
 const SLOW: Duration = Duration::from_millis(100);
 
 /// A part of a round.
