--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -325,6 +325,8 @@
         self.cpu = {}
         # (task, number, worker, began, ended or None, how or None), in order of start
         self.runs = []
+        # Orders to stop: (time, worker, task, number), in order
+        self.stops = []
         # Ends that were taken note of: (task, number) by worker life.
         self.noted = set()
         # Subtasks that have ended as done: time by task.
@@ -381,7 +383,9 @@
         self.cut_off = False
         self.last_beat = 0.0
         self.seq = 0
-        self.on_noted = None
+        self.labels = ["a", rack]
+        # Whether it rejects all starts, being unhealthy.
+        self.sheds = False
 
     async def start(self):
         self.born = int(time.time() * 1000)
@@ -412,7 +416,7 @@
         entry = {
             "service": self.service, "address": self.http.address, "zone": "mobile-bay",
             "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
-            "capacity": self.capacity, "labels": ["a", self.rack],
+            "capacity": self.capacity, "labels": self.labels,
             "clock-ms": self.clock(), "seq": self.seq, "born": self.born,
         }
         self.store.put_json("servers/" + self.ident, entry)
@@ -484,6 +488,8 @@
 
     def run_start(self, body):
         task, number = body["task"], body["run-id"]
+        if self.sheds:
+            return 503, None
         if (task, number) in self.live:
             self.extend(body["until-ms"])
             return 200, {"clock-ms": self.clock()}
@@ -511,6 +517,7 @@
         if run is not None and not run.stopping:
             run.stopping = True
             self.record.add("%s is told to stop %s run %d" % (self.ident, task, number))
+            self.fleet.stops.append((time.monotonic(), self.ident, task, number))
             loop = asyncio.get_running_loop()
             loop.call_later(STOP_S, lambda: self.end(run, "stopped"))
         return 200, {"clock-ms": self.clock()}
@@ -554,7 +561,7 @@
             {
                 "machine": worker.machine, "pool": worker.service,
                 "state": "up" if worker.up else "down", "zone": "mobile-bay",
-                "labels": ["a", worker.rack], "capacity": worker.capacity,
+                "labels": worker.labels, "capacity": worker.capacity,
                 "id": worker.ident if worker.up else "",
             }
             for worker in self.workers
