--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,9 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standin"))
 import standin
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 WORKERS = 5
 CUT_S = 4.0
 RESTART_S = 0.3
@@ -23,7 +26,7 @@
     # The cut meets the worker that ran the first job; it is idle.
     used = [row[2] for row in case.fleet.runs]
     victim = next(worker for worker in case.workers if worker.ident == used[0])
-    if case.trouble:
+    if TROUBLE:
         victim.cut_off = True
         case.record.add("%s is cut off from the store and crashes" % victim.ident)
         victim.crash()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,6 +9,9 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standin"))
 import standin
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 JOBS = 25
 WIDTH = 24
 DOWN_S = 4.5
@@ -37,7 +40,7 @@
     if running() <= standin.MAX_ENDS:
         raise standin.CannotRun("the subtasks are spread over several workers")
     await asyncio.sleep(max(0, first + 11.0 - case.record.now()))
-    if case.trouble:
+    if TROUBLE:
         case.record.add("the store is down")
         case.store.silent = True
     await asyncio.sleep(DOWN_S)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,6 +9,9 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standin"))
 import standin
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 OTHERS = 20
 TIMES = 86400
 INTERVAL_MS = 1000
@@ -24,7 +27,7 @@
     first = await case.submit([step], 1.0)
     if not await case.until_state(first, "completed", 15):
         raise standin.CannotRun("the first job doesn't end")
-    if case.trouble:
+    if TROUBLE:
         start = int((time.time() - LATE_S) * 1000)
         await case.submit([small], 0.2, ident="5c4ed00000000001", **{
             "times": TIMES, "interval-ms": INTERVAL_MS, "start-at-ms": start})
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,6 +12,9 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standin"))
 import standin
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 SERVICES = ("sizing-desk", "appraisal-office", "clasp-desk")
 WORKERS = 9
 CRASHES = 4
@@ -58,11 +61,11 @@
     await asyncio.sleep(12)
     victim = case.workers[3]
     for number in range(CRASHES):
-        if case.trouble:
+        if TROUBLE:
             case.record.add("%s crashes" % victim.ident)
             victim.crash()
         await asyncio.sleep(DOWN_S)
-        if case.trouble:
+        if TROUBLE:
             victim.ident = "i-%04x" % (0xB0 + number)
             victim.http.port = None
             await victim.start()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,6 +8,9 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standin"))
 import standin
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 WORKERS = 9
 GREY_S = 6.5
 JOBS = 12
@@ -25,7 +28,7 @@
     if not await case.until_state(first, "completed", 15):
         raise standin.CannotRun("the first job doesn't end")
     await asyncio.sleep(2)
-    if case.trouble:
+    if TROUBLE:
         case.record.add("%s sheds what it is told to start" % victim.ident)
         victim.sheds = True
     jobs = [await case.submit([step], 0.5) for _ in range(JOBS)]
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -651,7 +651,6 @@
     """A small deployment, and what a case does with it."""
 
     def __init__(self, folder, nodes=3, workers=9, services=("sizing-desk",)):
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store(self.record)
