Keep runs that a restarted endpoint may be executing

Cause: an order names its endpoint by an identity that a restarted endpoint keeps. When a report or a registration carried a newer start time, the leader released every run of the endpoint, also those that the newer incarnation had accepted, and didn't read the runs in the same report. A new leader did the same with every run whose saved start time differed from the registered one. A hold also repeated the highest end ever acknowledged, so that a restarted endpoint, which counts anew, forgot ends that nobody had seen.

Change: runs that a report of the earlier incarnation has listed ended with it. All others move to the newer incarnation and are looked for in its reports; until then their tasks don't start again. What the loss says about a task that may crash endpoints is recorded once the loss is certain. A takeover treats a difference in start times the same way. A hold acknowledges ends only right after a report, and each end once. Event 413 tells how many runs were lost and how many are undecided.

The simulation's holds now wait on healthy links too, as those of the platform do: without this, the fault didn't show.

Tried and taken back: waiting for the platform's longest lease before any unlisted run of a silent endpoint is released. It made job_crash::suspect_beside_a_new_task_that_crashes_its_endpoint_completes fail, as each loss then took a second longer.

--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -170,6 +170,11 @@
     pub(super) sent_acknowledgement: u64,
     /// Highest sequence number whose acknowledgement the endpoint has confirmed.
     pub(super) confirmed_acknowledgement: u64,
+    /// When the oldest hold without an answer was sent that acknowledges ends; `None` if there
+    /// is none. It may still arrive.
+    pub(super) unanswered_acknowledgement_at: Option<Instant>,
+    /// Whether the last hold was answered by a report.
+    pub(super) has_reported: bool,
     /// Ends that must not be acknowledged until their jobs are saved.
     pub(super) unsaved_ends: Vec<UnsavedEnd>,
     /// Time before which no new run is placed here.
@@ -223,6 +228,8 @@
             last_processed_end: 0,
             sent_acknowledgement: 0,
             confirmed_acknowledgement: 0,
+            unanswered_acknowledgement_at: None,
+            has_reported: false,
             unsaved_ends: Vec::new(),
             no_placement_until: now,
             consecutive_failures: 0,
@@ -325,6 +332,34 @@
         first_unsaved.map_or(self.last_processed_end, |sequence| sequence - 1)
     }
 
+    /// Returns the highest sequence number that the next hold acknowledges; 0 if it acknowledges
+    /// none.
+    ///
+    /// A restarted endpoint numbers its ends anew, and would forget ends that nobody has seen. An
+    /// acknowledgement is therefore sent once, and only right after a report.
+    pub(super) fn next_acknowledgement(&self) -> u64 {
+        let acknowledged = self.acknowledged();
+        if self.has_reported && acknowledged > self.confirmed_acknowledgement {
+            acknowledged
+        } else {
+            0
+        }
+    }
+
+    /// Records that the endpoint has answered the last hold.
+    pub(super) fn confirm_acknowledgement(&mut self) {
+        self.confirmed_acknowledgement = self
+            .confirmed_acknowledgement
+            .max(self.sent_acknowledgement);
+        self.unanswered_acknowledgement_at = None;
+        self.has_reported = true;
+    }
+
+    /// Returns how long ago the endpoint last replied; `None` if it never has.
+    pub(super) fn reply_age(&self, now: Instant) -> Option<Duration> {
+        self.replied_at.map(|at| now.saturating_since(at))
+    }
+
     /// Records a failed run. After several consecutive failures the endpoint receives no
     /// new work for a while.
     pub(super) fn record_failure(&mut self, now: Instant) {
--- a/crates/core/src/job/run.rs
+++ b/crates/core/src/job/run.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::live::{JobKey, TaskRef};
+use super::scheduler::Suspicion;
 use super::{EndpointKey, Resource};
 use crate::time::Instant;
 
@@ -160,6 +161,12 @@
     pub(super) phase: Phase,
     /// When the start order was sent, or when the run became known to this leader.
     pub(super) sent_at: Instant,
+    /// Whether a report of its endpoint has listed the run, so that the run ends with that
+    /// incarnation of the endpoint.
+    pub(super) is_reported: bool,
+    /// What it says about the task if the run has ended with an earlier incarnation of its
+    /// endpoint; `None` if no restart of the endpoint is known since the start.
+    pub(super) suspicion: Option<Suspicion>,
     /// Whether this leader sent the start order, and so knows how long the run has been
     /// executing.
     pub(super) started_by_this_leader: bool,
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -19,6 +19,7 @@
 };
 use crate::time::{Instant, Timestamp};
 
+mod adopt;
 mod backlog;
 mod balance;
 mod capacity;
@@ -32,6 +33,7 @@
 mod fleet;
 mod forecast;
 mod hosts;
+mod incarnation;
 mod inherit;
 mod intake;
 pub mod interference;
@@ -59,6 +61,7 @@
 mod wave;
 
 pub use cold::ColdLimits;
+pub(super) use crash::Suspicion;
 pub use endpoint_pace::RunLimit;
 pub use evacuation::{EvacuationProgress, EvacuationReport};
 pub use event::SchedulerEvent;
@@ -74,6 +77,8 @@
 pub struct Options {
     /// Duration of the lease that each order grants to the runs of its endpoint.
     pub lease_term: Duration,
+    /// Longest lease that an endpoint grants, whatever an order asks for.
+    pub max_lease: Duration,
     /// Longest time for which runs of an earlier leader may continue without being
     /// observed.
     pub inherited_bound: Duration,
--- a/crates/core/src/job/scheduler/crash.rs
+++ b/crates/core/src/job/scheduler/crash.rs
@@ -34,8 +34,8 @@
 
 /// A task that an endpoint may have been executing when it was lost.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Suspicion {
-    task: TaskRef,
+pub(in crate::job) struct Suspicion {
+    pub(super) task: TaskRef,
     evidence: Evidence,
     /// Number of the crash; `None` if an earlier leader may have seen it.
     crash: Option<u64>,
--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -130,6 +130,17 @@
         /// Start time of the incarnation, in milliseconds since the Unix epoch.
         born: u64,
     },
+    /// An endpoint has restarted under its identity.
+    EndpointRestarted {
+        /// Identity of the endpoint.
+        endpoint: String,
+        /// Number of runs that ended with the earlier incarnation.
+        lost: usize,
+        /// Number of runs that may be executing on the newer one.
+        undecided: usize,
+        /// Time since the last reply; `None` if there was none.
+        reply_age: Option<Duration>,
+    },
     /// An endpoint is slow after its start.
     EndpointCold {
         /// Identity of the endpoint.
--- a/crates/core/src/job/scheduler/inherit.rs
+++ b/crates/core/src/job/scheduler/inherit.rs
@@ -26,10 +26,12 @@
         if self.jobs[job].task(task).is_none_or(|task| task.done) {
             return;
         }
-        let Some(endpoint) = self.find_or_add_endpoint(now, &assigned) else {
-            self.record_suspicions(now, &[Suspicion::inherited(task)]);
-            return;
-        };
+        let endpoint = self.find_or_add_endpoint(now, &assigned);
+        // If the endpoint has restarted since the run was assigned to it, the order to start may
+        // have reached either incarnation.
+        let has_restarted =
+            self.endpoints[endpoint].registration.born > assigned.member.born;
+        let suspicion = has_restarted.then(|| Suspicion::inherited(task));
         let step = self.step(task);
         let (reserved, demand) = (step.reserved(), step.demand);
         let run = self.runs.insert(Run {
@@ -41,6 +43,8 @@
             demand,
             phase: Phase::Inherited,
             sent_at: now,
+            is_reported: false,
+            suspicion,
             started_by_this_leader: false,
             percent: 0,
             percent_at: now,
@@ -56,23 +60,25 @@
         endpoint.lease_bound = endpoint.lease_bound.max(bound);
     }
 
-    /// Returns the endpoint that a run was assigned to, or `None` if that incarnation of
-    /// it has ended. An endpoint that isn't known yet is added.
+    /// Returns the endpoint that a run was assigned to, which may have restarted since. An
+    /// endpoint that isn't known yet is added.
     fn find_or_add_endpoint(
         &mut self,
         now: Instant,
         assigned: &AssignedRun,
-    ) -> Option<EndpointKey> {
+    ) -> EndpointKey {
         let member = &assigned.member;
         if let Some(&key) = self.endpoints_by_id.get(&member.id) {
             let endpoint = &mut self.endpoints[key];
-            if endpoint.registration.born != member.born {
-                return None;
+            if endpoint.registration.born < member.born {
+                // The registration is from before a restart that the earlier leader knew of.
+                endpoint.registration.born = member.born;
+                endpoint.registration.clock_ms = 0;
             }
             if endpoint.host.is_none() {
                 endpoint.host.clone_from(&member.host);
             }
-            return Some(key);
+            return key;
         }
         let registration = Registration {
             id: member.id.clone(),
@@ -91,6 +97,6 @@
         endpoint.host.clone_from(&member.host);
         let key = self.endpoints.insert(endpoint);
         self.endpoints_by_id.insert(member.id.clone(), key);
-        Some(key)
+        key
     }
 }
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -1,10 +1,10 @@
 //! Takes in updates from the store: the configuration, endpoints, jobs and cancellations.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::{Scheduler, SchedulerEvent, rank};
-use crate::job::endpoint::Endpoint;
 use crate::job::live::Job;
 use crate::job::{Configuration, EndpointKey, Progress, Record, Registration, State};
 use crate::time::{Instant, Timestamp};
@@ -13,11 +13,6 @@
 /// entry hosts may differ by more than this.
 const MAX_FRESH_AGE: Duration = Duration::from_secs(1);
 
-/// Longest time for which a hold may wait at an endpoint or be in transit. A hold that
-/// was addressed to an earlier incarnation and reaches its successor makes it forget ends
-/// that the leader hasn't seen, so nothing is placed on the successor before then.
-const MAX_HOLD_TIME: Duration = Duration::from_millis(2_300);
-
 /// Time for which the end of an incarnation is remembered. Its registration expires
 /// within three heartbeats, but stays while the store is unavailable.
 const ENDED_INCARNATION_RETENTION: Duration = Duration::from_secs(30);
@@ -48,39 +43,37 @@
         if self.is_ended_incarnation(now, &registration) {
             return;
         }
-        let mut usable_from = now;
-        if let Some(&key) = self.endpoints_by_id.get(&registration.id) {
-            let known = &self.endpoints[key].registration;
-            if registration.born < known.born {
-                return;
-            }
-            if registration.born == known.born {
-                let endpoint = &mut self.endpoints[key];
-                endpoint.registration = registration;
-                endpoint.registered_at = now;
-                endpoint.is_registration_unreadable = false;
+        let Some(&key) = self.endpoints_by_id.get(&registration.id) else {
+            self.add_endpoint(now, registration);
+            return;
+        };
+        match registration
+            .born
+            .cmp(&self.endpoints[key].registration.born)
+        {
+            Ordering::Less => {}
+            Ordering::Equal => self.update_registration(now, key, registration),
+            Ordering::Greater => {
+                let successor = self.replace_incarnation(now, key, registration);
+                let endpoint = &mut self.endpoints[successor];
                 endpoint.unregistered_since = None;
-                self.update_evacuated(key);
-                self.update_accepts_overload(key);
-                self.update_cold(now, key);
-                return;
-            }
-            if let Some(sent) = self.endpoints[key].hold_sent_at {
-                usable_from = sent + MAX_HOLD_TIME;
+                endpoint.is_registration_unreadable = false;
             }
-            self.remove_endpoint(now, key, "a newer incarnation started");
         }
-        self.events.push(SchedulerEvent::EndpointUp {
-            endpoint: registration.id.clone(),
-            pool: registration.pool.clone(),
-            born: registration.born,
-        });
-        self.arrivals.register_pool(&registration.pool);
-        let id = registration.id.clone();
-        let mut endpoint = Endpoint::new(registration, now);
-        endpoint.no_placement_until = endpoint.no_placement_until.max(usable_from);
-        let key = self.endpoints.insert(endpoint);
-        self.endpoints_by_id.insert(id, key);
+    }
+
+    /// Takes over a newer registry entry of the same incarnation.
+    fn update_registration(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        registration: Registration,
+    ) {
+        let endpoint = &mut self.endpoints[key];
+        endpoint.registration = registration;
+        endpoint.registered_at = now;
+        endpoint.is_registration_unreadable = false;
+        endpoint.unregistered_since = None;
         self.update_evacuated(key);
         self.update_accepts_overload(key);
         self.update_cold(now, key);
@@ -117,6 +110,12 @@
         for run in runs {
             self.release_departed(now, run, departure, reason);
         }
+        self.forget_endpoint(key);
+        self.record_suspicions(now, &suspicions);
+    }
+
+    /// Forgets an endpoint that has no runs left.
+    pub(super) fn forget_endpoint(&mut self, key: EndpointKey) {
         self.pace_control.forget(key);
         self.recent_starts.forget(key);
         let Some(endpoint) = self.endpoints.remove(key) else {
@@ -126,7 +125,6 @@
         if self.endpoints_by_id.get(id) == Some(&key) {
             self.endpoints_by_id.remove(id);
         }
-        self.record_suspicions(now, &suspicions);
     }
 
     /// Removes an endpoint whose incarnation has ended, although its registration may
--- a/crates/core/src/job/scheduler/lease.rs
+++ b/crates/core/src/job/scheduler/lease.rs
@@ -21,7 +21,12 @@
 impl Scheduler {
     /// Returns the latest time at which a lease granted now may end.
     pub(super) fn lease_bound(&self, now: Instant) -> Instant {
-        now + self.options.lease_term.mul_f64(1.0 + CLOCK_DRIFT) + LEASE_MARGIN
+        self.lease_bound_of(now, self.options.lease_term)
+    }
+
+    /// Returns the latest time at which a lease of `term` granted at `at` may end.
+    pub(super) fn lease_bound_of(&self, at: Instant, term: Duration) -> Instant {
+        at + term.mul_f64(1.0 + CLOCK_DRIFT) + LEASE_MARGIN
     }
 
     /// Releases the runs of unreachable endpoints whose leases have expired, and removes
--- a/crates/core/src/job/scheduler/order.rs
+++ b/crates/core/src/job/scheduler/order.rs
@@ -50,7 +50,11 @@
                 Reachability::Reachable | Reachability::Unknown
             );
             endpoint.hold_sent_at = Some(now);
-            endpoint.sent_acknowledgement = endpoint.acknowledged();
+            let acknowledged = endpoint.next_acknowledgement();
+            endpoint.sent_acknowledgement = acknowledged;
+            if acknowledged > 0 {
+                endpoint.unanswered_acknowledgement_at.get_or_insert(now);
+            }
             if renews {
                 endpoint.lease_bound = endpoint.lease_bound.max(bound);
             }
@@ -58,7 +62,7 @@
                 endpoint: key,
                 sent: now,
                 target: endpoint.target(),
-                acknowledged: endpoint.acknowledged(),
+                acknowledged,
                 lease_end_ms: renews
                     .then(|| endpoint.lease_end(now, self.options.lease_term)),
                 wait,
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -478,6 +478,8 @@
             demand,
             phase: Phase::Planned(generation),
             sent_at: now,
+            is_reported: false,
+            suspicion: None,
             started_by_this_leader: true,
             percent: 0,
             percent_at: now,
--- a/crates/core/src/job/scheduler/report.rs
+++ b/crates/core/src/job/scheduler/report.rs
@@ -1,12 +1,14 @@
 //! Processes the reports of endpoints: which runs are active and which have ended.
 
+use std::cmp::Ordering;
+
 use super::finish::ReportedEnd;
 use super::outcome::{ActiveRun, EndedRun, HoldOutcome, OrderOutcome, Rejection};
 use super::reply::RETRY_PAUSE;
 use super::{Scheduler, SchedulerEvent};
 use crate::job::endpoint::{Reachability, UnsavedEnd};
-use crate::job::run::{Phase, Run};
-use crate::job::{EndpointKey, Resource, RunEnd, RunKey, TaskName, TaskRef};
+use crate::job::run::Phase;
+use crate::job::{EndpointKey, Registration, RunEnd, RunKey, TaskName, TaskRef};
 use crate::time::Instant;
 
 impl Scheduler {
@@ -27,26 +29,18 @@
         match hold_outcome {
             HoldOutcome::NotReported(outcome) => {
                 endpoint.next_hold = now + RETRY_PAUSE;
+                endpoint.has_reported = false;
                 if let OrderOutcome::Rejected(Rejection::Fenced, _) = outcome {
                     self.deposed = true;
                 }
                 self.update_reachability(now, key, outcome);
             }
             HoldOutcome::Reported(report) => {
-                if report
-                    .born
-                    .is_some_and(|born| born < endpoint.registration.born)
-                {
-                    return;
-                }
-                let newer = report
-                    .born
-                    .filter(|&born| born > endpoint.registration.born);
-                if let Some(born) = newer {
-                    self.replace_incarnation(now, key, born);
+                let Some(key) = self.reporting_incarnation(now, key, report.born) else {
                     return;
-                }
-                endpoint.confirmed_acknowledgement = endpoint.sent_acknowledgement;
+                };
+                let endpoint = &mut self.endpoints[key];
+                endpoint.confirm_acknowledgement();
                 self.update_reachability(
                     now,
                     key,
@@ -60,12 +54,28 @@
         }
     }
 
-    /// Replaces an endpoint by a newer incarnation with the same identity.
-    fn replace_incarnation(&mut self, now: Instant, key: EndpointKey, born: u64) {
-        let mut registration = self.endpoints[key].registration.clone();
-        registration.born = born;
-        registration.clock_ms = 0;
-        self.set_endpoint(now, registration);
+    /// Returns the incarnation of an endpoint that a report is from, which may be newer than the
+    /// known one; `None` if it is an earlier one. A report without a start time counts as one of
+    /// the known incarnation.
+    fn reporting_incarnation(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        born: Option<u64>,
+    ) -> Option<EndpointKey> {
+        let registration = &self.endpoints[key].registration;
+        match born.map_or(Ordering::Equal, |born| born.cmp(&registration.born)) {
+            Ordering::Less => None,
+            Ordering::Equal => Some(key),
+            Ordering::Greater => {
+                let registration = Registration {
+                    born: born?,
+                    clock_ms: 0,
+                    ..registration.clone()
+                };
+                Some(self.replace_incarnation(now, key, registration))
+            }
+        }
     }
 
     fn process_ends(&mut self, now: Instant, key: EndpointKey, ended: &[EndedRun]) {
@@ -156,11 +166,13 @@
         }
     }
 
-    fn update_run(&mut self, now: Instant, key: RunKey, reported: &ActiveRun) {
+    pub(super) fn update_run(&mut self, now: Instant, key: RunKey, reported: &ActiveRun) {
         let run = &mut self.runs[key];
         run.percent = reported.percent;
         run.percent_at = now;
         run.gauge = reported.gauge;
+        run.is_reported = true;
+        run.suspicion = None;
         if matches!(
             run.phase,
             Phase::Inherited | Phase::Starting | Phase::Unconfirmed
@@ -184,7 +196,7 @@
             // The endpoint has seen this leader's fencing token, so it would reject a
             // start order of an earlier leader that arrives now.
             Phase::Inherited => {
-                self.release(now, key, "not started by an earlier leader");
+                self.release_missing(now, key, "not started by an earlier leader");
             }
             // The run didn't exist when the hold was sent, and its start order may still
             // arrive, so it has to be stopped.
@@ -193,101 +205,12 @@
             }
             phase => {
                 if phase.confirmed_at().is_some_and(|at| at < sent) {
-                    self.release(now, key, "not listed by its endpoint");
+                    self.release_missing(now, key, "not listed by its endpoint");
                 }
             }
         }
     }
 
-    /// Takes over a run that this leader didn't start, or stops it if its task is unknown
-    /// or isn't waiting.
-    fn adopt(
-        &mut self,
-        now: Instant,
-        key: EndpointKey,
-        reported: &ActiveRun,
-    ) -> Option<RunKey> {
-        let task = self.find_task(&reported.name);
-        let waiting_task = task.filter(|&task| self.is_task_waiting(task));
-        let (reserved, demand) = task.map_or_else(Default::default, |task| {
-            let step = &self.jobs[task.job].record.spec.steps[task.step as usize];
-            (step.reserved(), step.demand)
-        });
-        let run = self.runs.insert(Run {
-            name: reported.name.clone(),
-            number: reported.number,
-            task,
-            endpoint: key,
-            reserved,
-            demand,
-            phase: Phase::Running(now),
-            sent_at: now,
-            started_by_this_leader: false,
-            percent: reported.percent,
-            percent_at: now,
-            gauge: reported.gauge,
-            pace: 100,
-            probation: None,
-            // An earlier leader may have reduced the pace.
-            pace_sent: false,
-        });
-        self.attach(run, task, key, reserved, demand);
-        let endpoint = self.endpoint_id(key);
-        if waiting_task.is_some() {
-            self.events.push(SchedulerEvent::Adopted {
-                name: reported.name.clone(),
-                number: reported.number,
-                endpoint,
-            });
-            self.update_run(now, run, reported);
-        } else {
-            self.stop(now, run, "its task is unknown or not waiting");
-        }
-        Some(run)
-    }
-
-    /// Adds a run to its endpoint, its task and the usage of its workspace.
-    pub(super) fn attach(
-        &mut self,
-        run: RunKey,
-        task: Option<TaskRef>,
-        key: EndpointKey,
-        reserved: Resource,
-        demand: Resource,
-    ) {
-        let number = self.runs[run].number;
-        let endpoint = &mut self.endpoints[key];
-        endpoint.runs.insert(run);
-        endpoint.used.add(&reserved);
-        let Some(task) = task else {
-            return;
-        };
-        let job = &mut self.jobs[task.job];
-        if let Some(workspace) = &job.record.workspace {
-            self.workspace_usage
-                .entry(workspace.clone())
-                .or_default()
-                .add(&demand);
-        }
-        if job.state == crate::job::State::Queued {
-            job.state = crate::job::State::Running;
-            job.mark_changed(self.term_began_at);
-        }
-        if let Some(task_state) = job.task_mut(task) {
-            task_state.runs.push(run);
-            task_state.last_run = task_state.last_run.max(number);
-        }
-    }
-
-    /// Returns whether a task may have another run.
-    fn is_task_waiting(&self, task: TaskRef) -> bool {
-        let job = &self.jobs[task.job];
-        !job.state.is_final()
-            && job
-                .task(task)
-                .is_some_and(super::super::live::Task::is_waiting)
-    }
-
     pub(super) fn find_run(
         &self,
         endpoint: EndpointKey,
--- a/crates/core/tests/job_support/crash.rs
+++ b/crates/core/tests/job_support/crash.rs
@@ -59,6 +59,16 @@
         self.crashes.observed.push((self.now, id.to_owned()));
     }
 
+    /// Restarts an endpoint under its identity while it is cut off from the store.
+    pub fn restart_behind_cut(&mut self, id: &str) {
+        let endpoint = self.endpoints.get_mut(id).expect("the endpoint exists");
+        // Nobody learns of these ends, so the tasks have to start again.
+        for name in endpoint.unreported_ends() {
+            self.completed_tasks.remove(&name.to_string());
+        }
+        endpoint.restart();
+    }
+
     /// Ends an endpoint without notice, and starts a new one on its host some seconds later.
     pub fn crash(&mut self, id: &str) {
         if self.crashes.hidden > 0 {
--- a/crates/core/tests/job_support/delivery.rs
+++ b/crates/core/tests/job_support/delivery.rs
@@ -19,6 +19,16 @@
 /// Delay of a start order that arrives late.
 const LATE_START_DELAY: Duration = Duration::from_millis(2_000);
 
+/// A hold that waits at its endpoint for the end of a run.
+#[derive(Clone, Debug)]
+pub(super) struct WaitingHold {
+    /// End of the wait.
+    until: Instant,
+    /// Incarnation of the endpoint that received the hold.
+    born: u64,
+    order: Hold,
+}
+
 impl Simulation {
     pub(super) fn execute(&mut self, command: Command) {
         match command {
@@ -198,30 +208,43 @@
         let Some(endpoint) = endpoint.filter(|_| self.holds_wait) else {
             return false;
         };
-        let waits = matches!(endpoint.link, Link::SomeStartsDelayed(_))
+        let is_delivered =
+            matches!(endpoint.link, Link::Healthy | Link::SomeStartsDelayed(_));
+        let waits = is_delivered
             && !order.wait.is_zero()
             && !endpoint.has_end_after(order.acknowledged);
         if waits {
             // The lease is renewed when the order arrives.
             endpoint.hold(self.now, order);
-            let until = self.now + order.wait;
-            self.waiting_holds.push((until, order.clone()));
+            self.waiting_holds.push(WaitingHold {
+                until: self.now + order.wait,
+                born: endpoint.report.born,
+                order: order.clone(),
+            });
         }
         waits
     }
 
     /// Answers the holds whose time is over or at whose endpoints a run has ended.
     pub(super) fn answer_waiting_holds(&mut self) {
-        for (until, order) in std::mem::take(&mut self.waiting_holds) {
-            let endpoint = self.endpoints.get(&order.target.id);
-            let has_end = endpoint
-                .is_none_or(|endpoint| endpoint.has_end_after(order.acknowledged));
-            if until > self.now && !has_end {
-                self.waiting_holds.push((until, order));
+        for hold in std::mem::take(&mut self.waiting_holds) {
+            let endpoint = self.endpoints.get(&hold.order.target.id);
+            let is_answered = endpoint.is_none_or(|endpoint| {
+                endpoint.has_end_after(hold.order.acknowledged)
+                    || endpoint.report.born != hold.born
+            });
+            if hold.until > self.now && !is_answered {
+                self.waiting_holds.push(hold);
                 continue;
             }
-            let outcome = self.deliver_hold(&order);
-            let (endpoint, sent) = (order.endpoint, order.sent);
+            // The connections of an incarnation end with it.
+            let outcome = match endpoint {
+                Some(endpoint) if endpoint.report.born != hold.born => {
+                    HoldOutcome::NotReported(OrderOutcome::Unknown)
+                }
+                _ => self.deliver_hold(&hold.order),
+            };
+            let (endpoint, sent) = (hold.order.endpoint, hold.order.sent);
             self.scheduler
                 .handle_hold_outcome(self.now, endpoint, sent, outcome);
         }
--- a/crates/core/tests/job_support/endpoint.rs
+++ b/crates/core/tests/job_support/endpoint.rs
@@ -69,6 +69,8 @@
 #[derive(Clone, Debug)]
 pub struct Endpoint {
     pub report: Registration,
+    /// Registration that the store holds from before a restart; `None` if it holds `report`.
+    pub stale_report: Option<Registration>,
     /// Resources that its runs may reserve now. The registration may still name others.
     pub capacity: Resource,
     /// Whether it rejects starts that exceed its capacity.
@@ -122,6 +124,7 @@
             overloads: 0,
             is_resized: false,
             report,
+            stale_report: None,
             link: Link::Healthy,
             host,
             active_runs: Vec::new(),
@@ -146,6 +149,20 @@
         }
     }
 
+    /// Starts a new incarnation under the same identity, which knows nothing of the one
+    /// before. The store doesn't show it yet.
+    pub fn restart(&mut self) {
+        self.stale_report.get_or_insert_with(|| self.report.clone());
+        self.report.born += 1;
+        self.active_runs.clear();
+        self.ended_runs.clear();
+        self.sequence = 0;
+        self.reported_sequence = 0;
+        self.highest_fencing_token = 0;
+        self.lease_end_ms = 0;
+        self.highest_ended_numbers.clear();
+    }
+
     /// Returns the resources reserved for the active runs.
     pub fn used(&self) -> Resource {
         let mut used = Resource::default();
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -19,8 +19,8 @@
 use rhubarbrill_core::job::configuration::{Pool, Queue, Workspace};
 use rhubarbrill_core::job::record::Record;
 use rhubarbrill_core::job::scheduler::{
-    Authority, ColdLimits, EvacuationReport, Hold, Host, HostState, Options, Scheduler,
-    Term, WaveState,
+    Authority, ColdLimits, EvacuationReport, Host, HostState, Options, Scheduler, Term,
+    WaveState,
 };
 use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
@@ -30,6 +30,7 @@
 use rhubarbrill_core::time::{Instant, Timestamp};
 
 pub use crash::Crashes;
+use delivery::WaitingHold;
 pub use endpoint::{Endpoint, Link};
 pub use policy::Policy;
 
@@ -114,12 +115,12 @@
     evacuated_zones: BTreeSet<String>,
     /// Number of pace orders that are still to be lost on their way to an endpoint.
     pub pace_orders_to_lose: usize,
-    /// Whether holds wait at endpoints of which some start orders are delayed.
+    /// Whether holds wait at endpoints for the end of a run.
     pub holds_wait: bool,
     /// Start orders without a reply, each with the end of its timeout.
     unanswered_starts: Vec<(Instant, RunKey)>,
-    /// Holds that wait at their endpoints, each with the end of its wait.
-    waiting_holds: Vec<(Instant, Hold)>,
+    /// Holds that wait at their endpoints.
+    waiting_holds: Vec<WaitingHold>,
     /// Actual run time of each task in percent of its estimate, by name; 100 if absent.
     pub run_time_percents: BTreeMap<String, u64>,
     /// Hosts being moved or maintained: end of the transition, pool, state.
@@ -144,6 +145,7 @@
 pub const fn options(features: Features) -> Options {
     Options {
         lease_term: Duration::from_millis(5_000),
+        max_lease: Duration::from_millis(6_000),
         inherited_bound: Duration::from_millis(9_425),
         retention: Duration::from_secs(150),
         max_capacity_age: Duration::from_millis(3_800),
@@ -377,6 +379,7 @@
         let endpoint = self.endpoints.get_mut(id).expect("the endpoint exists");
         endpoint.report.capacity = endpoint.capacity;
         endpoint.report.clock_ms = now.as_micros() / 1_000;
+        endpoint.stale_report = None;
         self.scheduler.set_endpoint(now, endpoint.report.clone());
     }
 
@@ -457,13 +460,17 @@
             start_revision: self.revision,
         };
         self.scheduler = Scheduler::new(self.options, self.term, self.now);
+        // What the earlier leader is told from now on doesn't matter.
+        self.waiting_holds.clear();
+        self.unanswered_starts.clear();
         self.scheduler.set_configuration(self.configuration.clone());
         self.scheduler
             .set_evacuated_zones(self.now, &self.evacuated_zones);
         for endpoint in self.endpoints.values() {
             if !(registrations_expired && endpoint.link == Link::Unreachable) {
-                self.scheduler
-                    .set_endpoint(self.now, endpoint.report.clone());
+                let registered =
+                    endpoint.stale_report.as_ref().unwrap_or(&endpoint.report);
+                self.scheduler.set_endpoint(self.now, registered.clone());
             }
         }
         for (_, report) in &self.expiring_registrations {
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -137,6 +137,20 @@
             let fields = o!("endpoint" => endpoint, "reason" => reason, "runs" => runs);
             event::log(out, Event::EndpointLost, fields);
         }
+        SchedulerEvent::EndpointRestarted {
+            endpoint,
+            lost,
+            undecided,
+            reply_age,
+        } => {
+            let fields = o!(
+                "endpoint" => endpoint,
+                "lost" => lost,
+                "undecided" => undecided,
+                "reply_age_ms" => reply_age.map(millis),
+            );
+            event::log(out, Event::EndpointRestarted, fields);
+        }
         SchedulerEvent::EndpointRegained { endpoint } => {
             event::log(out, Event::EndpointRegained, o!("endpoint" => endpoint));
         }
--- a/crates/dispatch/src/lead/takeover.rs
+++ b/crates/dispatch/src/lead/takeover.rs
@@ -146,6 +146,7 @@
     let lease_term = MAX_RUN_LEASE.min(settings.max_lease);
     let options = Options {
         lease_term,
+        max_lease: settings.max_lease,
         inherited_bound: HOLD_GRACE
             + lease_term.mul_f64(CLOCK_DRIFT_FACTOR)
             + LEASE_MARGIN,
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -155,6 +155,9 @@
         "An endpoint is gone or doesn't respond.", "Check the host if it repeats.";
     EndpointRegained = 412, Info,
         "A lost endpoint responds again.", "Nothing.";
+    EndpointRestarted = 413, Warning,
+        "An endpoint has restarted under its identity; what it may be executing is looked for.",
+        "Check the host if it repeats.";
     RequestRefused = 500, Info,
         "A request was rejected before it was sent to an endpoint.", "Nothing.";
     RequestFailed = 501, Warning,
