Conclude nothing from a report whose list of ends was cut

Cause: an endpoint lists at most 500 ends. While none is acknowledged, as the store is away or the leader is lost, further ends are in neither list of a report, and the leader, or the one that had inherited the runs, took them for gone.

Change: a report says whether its list of ends is complete (Coverage); only the adapter knows the limit. What a run's absence proves is decided in one place, scheduler::absence, for all phases. A list that was cut proves nothing.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -19,6 +19,7 @@
 };
 use crate::time::{Instant, Timestamp};
 
+mod absence;
 mod adopt;
 mod backlog;
 mod balance;
@@ -66,7 +67,9 @@
 pub use evacuation::{EvacuationProgress, EvacuationReport};
 pub use event::SchedulerEvent;
 pub use hosts::{Host, HostState, Move};
-pub use outcome::{ActiveRun, EndedRun, HoldOutcome, OrderOutcome, Rejection, RunReport};
+pub use outcome::{
+    ActiveRun, Coverage, EndedRun, HoldOutcome, OrderOutcome, Rejection, RunReport,
+};
 pub use pattern::PatternChange;
 pub use permission::{Permit, PolicyAnswer, PolicyQuestion, StepRef};
 pub use save::{Save, SaveOutcome};
--- a/crates/core/src/job/scheduler/outcome.rs
+++ b/crates/core/src/job/scheduler/outcome.rs
@@ -85,6 +85,15 @@
     pub checkpoint: String,
 }
 
+/// Which of the ends that weren't acknowledged a report lists.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Coverage {
+    /// All of them.
+    Complete,
+    /// The first ones, up to the endpoint's limit. There may be more.
+    Cut,
+}
+
 /// An endpoint's report on its runs, returned in answer to a hold.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RunReport {
@@ -95,8 +104,10 @@
     pub clock_ms: u64,
     /// Runs that are executing.
     pub running: Vec<ActiveRun>,
-    /// Runs that ended and whose ends haven't been acknowledged.
+    /// Runs that ended and whose ends haven't been acknowledged, in the order of their ends.
     pub ended: Vec<EndedRun>,
+    /// Whether `ended` is complete.
+    pub coverage: Coverage,
 }
 
 /// The result of a hold.
--- a/crates/core/src/job/scheduler/report.rs
+++ b/crates/core/src/job/scheduler/report.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 
+use super::absence::Proof;
 use super::finish::ReportedEnd;
 use super::outcome::{ActiveRun, EndedRun, HoldOutcome, OrderOutcome, Rejection};
 use super::reply::RETRY_PAUSE;
@@ -47,7 +48,8 @@
                     OrderOutcome::Done(Some(report.clock_ms)),
                 );
                 self.process_ends(now, key, &report.ended);
-                self.process_running(now, key, sent, &report.running);
+                let proof = Proof::new(sent, report.coverage);
+                self.process_running(now, key, proof, &report.running);
                 self.learn_interference(now, key);
                 self.schedule_next_hold(now, key);
             }
@@ -138,7 +140,7 @@
         &mut self,
         now: Instant,
         key: EndpointKey,
-        sent: Instant,
+        proof: Proof,
         running: &[ActiveRun],
     ) {
         let mut listed = Vec::with_capacity(running.len());
@@ -158,7 +160,7 @@
             .filter(|run| !listed.contains(run))
             .collect();
         for run in missing {
-            self.handle_missing_run(now, run, sent);
+            self.handle_missing_run(now, run, proof);
         }
         let endpoint = &mut self.endpoints[key];
         if endpoint.reachability == Reachability::Unknown {
@@ -190,27 +192,6 @@
         }
     }
 
-    fn handle_missing_run(&mut self, now: Instant, key: RunKey, sent: Instant) {
-        let run = &self.runs[key];
-        match run.phase {
-            // The endpoint has seen this leader's fencing token, so it would reject a
-            // start order of an earlier leader that arrives now.
-            Phase::Inherited => {
-                self.release_missing(now, key, "not started by an earlier leader");
-            }
-            // The run didn't exist when the hold was sent, and its start order may still
-            // arrive, so it has to be stopped.
-            Phase::Unconfirmed if sent > run.sent_at => {
-                self.stop(now, key, "its start order got no answer");
-            }
-            phase => {
-                if phase.confirmed_at().is_some_and(|at| at < sent) {
-                    self.release_missing(now, key, "not listed by its endpoint");
-                }
-            }
-        }
-    }
-
     pub(super) fn find_run(
         &self,
         endpoint: EndpointKey,
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
-    Authority, Command, HoldOutcome, Rejection, RunReport, SaveOutcome,
+    Authority, Command, Coverage, HoldOutcome, Rejection, RunReport, SaveOutcome,
 };
 use rhubarbrill_core::job::{Resource, State};
 use rhubarbrill_core::time::Instant;
@@ -539,6 +539,7 @@
                         clock_ms: 0,
                         running: Vec::new(),
                         ended: Vec::new(),
+                        coverage: Coverage::Complete,
                     };
                     let outcome = HoldOutcome::Reported(reply);
                     simulation.scheduler.handle_hold_outcome(
--- a/crates/core/tests/job_support/endpoint.rs
+++ b/crates/core/tests/job_support/endpoint.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use rhubarbrill_core::job::scheduler::{
-    ActiveRun, EndedRun, Hold, HoldOutcome, OrderOutcome, Pace, Rejection, RunReport,
-    Start, Stop,
+    ActiveRun, Coverage, EndedRun, Hold, HoldOutcome, OrderOutcome, Pace, Rejection,
+    RunReport, Start, Stop,
 };
 use rhubarbrill_core::job::{Registration, Resource, RunEnd, Step, TaskName};
 use rhubarbrill_core::time::Instant;
@@ -103,6 +103,8 @@
     pub interference_by_image_ms: BTreeMap<String, u64>,
     /// Tail latency without interference, in milliseconds.
     pub base_tail_ms: u64,
+    /// Largest number of ends in one report.
+    pub max_reported_ends: usize,
     ended_runs: Vec<EndedRun>,
     sequence: u64,
     /// Highest sequence number among the ends that were reported.
@@ -138,6 +140,7 @@
             checkpoint: String::new(),
             interference_by_image_ms: BTreeMap::new(),
             base_tail_ms: BASE_TAIL_MS,
+            max_reported_ends: usize::MAX,
             ended_runs: Vec::new(),
             sequence: 0,
             reported_sequence: 0,
@@ -262,8 +265,11 @@
         }
         self.ended_runs
             .retain(|ended| ended.sequence > order.acknowledged);
-        self.reported_sequence = self.sequence;
         let tail = self.reported_tail(now);
+        let most = self.max_reported_ends.min(self.ended_runs.len());
+        let reported = &self.ended_runs[..most];
+        self.reported_sequence =
+            reported.last().map_or(self.sequence, |end| end.sequence);
         let active_run = |run: &SimulatedRun| ActiveRun {
             name: run.name.clone(),
             number: run.number,
@@ -275,7 +281,12 @@
             born: Some(self.report.born),
             clock_ms: clock_ms(now),
             running: self.active_runs.iter().map(active_run).collect(),
-            ended: self.ended_runs.clone(),
+            ended: reported.to_vec(),
+            coverage: if most < self.max_reported_ends {
+                Coverage::Complete
+            } else {
+                Coverage::Cut
+            },
         })
     }
 
--- a/crates/measure/src/job.rs
+++ b/crates/measure/src/job.rs
@@ -7,8 +7,8 @@
 use argh::FromArgs;
 use rhubarbrill_core::job::configuration::{Configuration, Pool, Queue};
 use rhubarbrill_core::job::scheduler::{
-    ActiveRun, Authority, ColdLimits, Command, Hold, HoldOutcome, Host, HostState,
-    Options, OrderOutcome, RunReport, SaveOutcome, Scheduler, Start, Term,
+    ActiveRun, Authority, ColdLimits, Command, Coverage, Hold, HoldOutcome, Host,
+    HostState, Options, OrderOutcome, RunReport, SaveOutcome, Scheduler, Start, Term,
 };
 use rhubarbrill_core::job::{
     EndpointKey, Feature, Record, Registration, Resource, Spec, Step,
@@ -271,6 +271,7 @@
             clock_ms: 0,
             running,
             ended: Vec::new(),
+            coverage: Coverage::Complete,
         };
         let outcome = HoldOutcome::Reported(report);
         self.scheduler
--- a/crates/standin/src/users/endpoint.rs
+++ b/crates/standin/src/users/endpoint.rs
@@ -13,6 +13,9 @@
 /// Interval between two checks of a pending hold request for runs that have ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
 
+/// Largest number of ends in one report.
+const MAX_REPORTED_ENDS: usize = 500;
+
 pub(crate) async fn handle(
     shared: SharedState,
     id: &str,
@@ -172,6 +175,7 @@
                 let finished: Vec<Value> = endpoint
                     .ended
                     .iter()
+                    .take(MAX_REPORTED_ENDS)
                     .map(|ended| {
                         json!([ended.sequence, ended.task, ended.run, ended.outcome, ""])
                     })
