Bound what a schedule opens and what a record of progress holds

Cause: all due occurrences were opened at once; everything that was open or out of order went into one record, whatever its size; and a write that the store refuses for good counted as unanswered and was made again without end, with all jobs that shared it.

Ruled out: the store's rate of writes; placement (a label that no endpoint has isn't needed).

Change: at most 256 occurrences with 4,096 tasks are open for a job. Completed occurrences and tasks are recorded as spans, untouched ones aren't recorded. platform.value-bytes is read; a record that exceeds it leaves out checkpoints, then crash histories. A job that no record can hold is rejected with 400 and the reason. A refusal for good is told from a failure: its jobs are written alone, less and less often, and one that goes on being refused while others are accepted fails.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -15,9 +15,11 @@
 pub mod order_rate;
 pub mod record;
 pub mod refusal;
+mod refused_save;
 mod resource;
 mod run;
 pub mod scheduler;
+mod spans;
 pub mod spec;
 pub mod watch_progress;
 
--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -5,6 +5,8 @@
 
 use super::configuration::{Declarations, PlacementPolicy, Queue};
 use super::record::{self, AssignedEndpoint, Progress};
+use super::refused_save::Refusals;
+use super::spans::Spans;
 use super::{EndpointKey, Record, Resource, RunKey, Spec, State, Step, crash};
 use crate::time::{Instant, Timestamp};
 
@@ -60,10 +62,6 @@
         let wanted = if may_duplicate { 2 } else { 1 };
         !self.done && self.runs.len() < wanted
     }
-
-    fn needs_saving(&self) -> bool {
-        self.done || self.last_run > 0
-    }
 }
 
 /// The tasks of one step in one occurrence.
@@ -75,6 +73,15 @@
 }
 
 impl TaskGroup {
+    fn restore_done(&mut self, done: &Spans) {
+        for (index, task) in (0..).zip(&mut self.tasks) {
+            if done.contains(index) && !task.done {
+                task.done = true;
+                self.done += 1;
+            }
+        }
+    }
+
     pub(super) const fn is_done(&self) -> bool {
         self.done == self.tasks.len()
     }
@@ -104,6 +111,20 @@
         self.groups.iter().all(TaskGroup::is_done)
     }
 
+    /// Returns an occurrence with its saved state.
+    fn restored(record: &Record, saved: record::Occurrence) -> Self {
+        let mut occurrence = Self::new(record);
+        for (step, done) in saved.done {
+            if let Some(group) = occurrence.groups.get_mut(step as usize) {
+                group.restore_done(&done);
+            }
+        }
+        for task in saved.tasks {
+            occurrence.restore(task);
+        }
+        occurrence
+    }
+
     fn restore(&mut self, task: record::Task) {
         let Some(group) = self.groups.get_mut(task.step as usize) else {
             return;
@@ -128,35 +149,26 @@
         mut endpoint_position: impl FnMut(&Task) -> Option<u32>,
     ) -> record::Occurrence {
         let mut tasks = Vec::new();
-        for (step, group) in self.groups.iter().enumerate() {
-            for (index, task) in group.tasks.iter().enumerate() {
-                if task.needs_saving() {
+        let mut done: BTreeMap<u32, Spans> = BTreeMap::new();
+        for (step, group) in (0..).zip(&self.groups) {
+            for (index, task) in (0..).zip(&group.tasks) {
+                if task.done {
+                    done.entry(step).or_default().insert(index);
+                } else if task.last_run > 0 {
                     tasks.push(record::Task {
-                        step: u32::try_from(step).unwrap_or(u32::MAX),
-                        index: u32::try_from(index).unwrap_or(u32::MAX),
+                        step,
+                        index,
                         last_run: task.last_run,
-                        member: if task.done {
-                            None
-                        } else {
-                            endpoint_position(task)
-                        },
-                        done: task.done,
+                        member: endpoint_position(task),
+                        done: false,
                         failed_runs: task.failed_runs.clone(),
-                        checkpoint: if task.done {
-                            String::new()
-                        } else {
-                            task.checkpoint.clone()
-                        },
-                        crashes: if task.done {
-                            crash::History::default()
-                        } else {
-                            task.crashes
-                        },
+                        checkpoint: task.checkpoint.clone(),
+                        crashes: task.crashes,
                     });
                 }
             }
         }
-        record::Occurrence { index, tasks }
+        record::Occurrence { index, tasks, done }
     }
 }
 
@@ -199,6 +211,8 @@
     /// Number of the next occurrence to open.
     pub(super) next_occurrence: u32,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
+    /// Completed occurrences after `first_open`.
+    pub(super) closed: Spans,
     /// Counter that increases with each change that the store should hold.
     pub(super) generation: u64,
     /// Generation that the store holds.
@@ -209,6 +223,8 @@
     pub(super) published_state: State,
     /// Whether a write of the job's progress is in flight.
     pub(super) save_in_flight: bool,
+    /// Writes of the job's progress that the store has refused for good.
+    pub(super) refusals: Refusals,
     /// Whether planned starts are waiting until the job is saved.
     pub(super) has_planned_starts: bool,
     /// Store revision of the saved progress; 0 if none is saved.
@@ -239,26 +255,38 @@
             first_open: progress.first_open,
             next_occurrence: progress.first_open,
             occurrences: BTreeMap::new(),
+            closed: progress.closed,
             generation: 0,
             saved_generation: 0,
             changed_at: Instant::ZERO,
             published_state: progress.state,
             save_in_flight: false,
+            refusals: Refusals::default(),
             has_planned_starts: false,
             progress_version: 0,
         };
         for saved in progress.occurrences {
-            job.next_occurrence = job.next_occurrence.max(saved.index + 1);
-            let mut occurrence = Occurrence::new(&job.record);
-            for task in saved.tasks {
-                occurrence.restore(task);
-            }
-            job.occurrences.insert(saved.index, occurrence);
+            job.restore(saved);
         }
+        job.first_open = job.closed.remove_from(job.first_open);
         job.configure(declared);
         job
     }
 
+    /// Restores an occurrence. Those of which nothing has started are opened when there is room.
+    fn restore(&mut self, saved: record::Occurrence) {
+        if saved.is_untouched() {
+            return;
+        }
+        let index = saved.index;
+        let occurrence = Occurrence::restored(&self.record, saved);
+        if occurrence.is_done() {
+            self.closed.insert(index);
+        } else {
+            self.occurrences.insert(index, occurrence);
+        }
+    }
+
     /// Takes over what a configuration declares for the job. Of a queue that was removed,
     /// the job keeps the parameters, but needs no permission of its placement policy.
     pub(super) fn configure(&mut self, declared: Declarations<'_>) {
@@ -283,9 +311,14 @@
             .map_or(1, |recurrence| recurrence.count)
     }
 
-    /// Opens the occurrences that are due and calculates their due times.
-    pub(super) fn open_due(&mut self, now: Instant, wall: Timestamp) {
-        self.open_until(wall);
+    /// Opens the occurrences that are due, as many as a record holds, and calculates their due times.
+    pub(super) fn open_due(
+        &mut self,
+        now: Instant,
+        wall: Timestamp,
+        max_record_bytes: u64,
+    ) {
+        self.open_until(wall, max_record_bytes);
         let arrived_at = self.arrived_at;
         for (&index, occurrence) in &mut self.occurrences {
             let recurrence = self.record.spec.recurrence;
@@ -298,29 +331,35 @@
         }
     }
 
-    fn open_until(&mut self, wall: Timestamp) {
-        while self.next_occurrence < self.occurrence_count() {
-            let due =
-                self.record.spec.recurrence.is_none_or(|recurrence| {
-                    recurrence.due(self.next_occurrence) <= wall
-                });
-            if !due {
+    fn open_until(&mut self, wall: Timestamp, max_record_bytes: u64) {
+        let most = self.record.spec.max_open_occurrences(max_record_bytes);
+        while self.occurrences.len() < most {
+            let next = self.next_occurrence.max(self.first_open);
+            let index = self.closed.first_absent_from(next);
+            if index >= self.occurrence_count() {
                 return;
             }
-            let occurrence = Occurrence::new(&self.record);
-            self.occurrences.insert(self.next_occurrence, occurrence);
-            self.next_occurrence += 1;
+            let recurrence = self.record.spec.recurrence;
+            if recurrence.is_some_and(|recurrence| recurrence.due(index) > wall) {
+                return;
+            }
+            self.next_occurrence = index + 1;
+            let record = &self.record;
+            let open = self.occurrences.entry(index);
+            open.or_insert_with(|| Occurrence::new(record));
         }
     }
 
-    /// Removes completed occurrences, in order, up to the first one that is still open.
-    pub(super) fn close_done(&mut self) {
-        while let Some(entry) = self.occurrences.first_entry() {
-            if *entry.key() != self.first_open || !entry.get().is_done() {
-                return;
-            }
-            entry.remove();
-            self.first_open += 1;
+    /// Closes an occurrence if it is done.
+    pub(super) fn close_if_done(&mut self, index: u32) {
+        if self
+            .occurrences
+            .get(&index)
+            .is_some_and(Occurrence::is_done)
+        {
+            self.occurrences.remove(&index);
+            self.closed.insert(index);
+            self.first_open = self.closed.remove_from(self.first_open);
         }
     }
 
@@ -393,16 +432,16 @@
         let occurrences = if self.state == State::Completed {
             Vec::new()
         } else {
-            let open = self.occurrences.iter();
-            open.map(|(&index, occurrence)| {
+            let open = self.occurrences.iter().map(|(&index, occurrence)| {
                 occurrence.snapshot(index, &mut endpoint_position)
-            })
-            .collect()
+            });
+            open.filter(|saved| !saved.is_untouched()).collect()
         };
         Progress {
             state: self.state,
             first_open: self.first_open,
             members,
+            closed: self.closed.clone(),
             occurrences,
         }
     }
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -1,9 +1,12 @@
 //! The records of jobs in the store.
 
+use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use super::spans::Spans;
 use super::{Spec, crash};
 use crate::time::Timestamp;
 
@@ -85,7 +88,10 @@
     /// The endpoints that tasks were assigned to, which tasks reference by position.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<AssignedEndpoint>,
-    /// The open occurrences, from `first_open` on.
+    /// Completed occurrences after `first_open`.
+    #[serde(default, skip_serializing_if = "Spans::is_empty")]
+    pub closed: Spans,
+    /// The open occurrences, from `first_open` on, of which a task has started.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub occurrences: Vec<Occurrence>,
 }
@@ -101,6 +107,49 @@
 }
 
 impl Progress {
+    /// Leaves out what isn't needed for correctness until the encoded progress has at most
+    /// `max_bytes`: checkpoints, the longest first, then crashes of endpoints. Returns whether
+    /// it fits.
+    pub(super) fn fit_into(&mut self, max_bytes: u64) -> bool {
+        let Some(excess) = self.excess(max_bytes) else {
+            return true;
+        };
+        self.drop_checkpoints(excess);
+        if self.excess(max_bytes).is_none() {
+            return true;
+        }
+        for task in self.tasks_mut() {
+            task.checkpoint.clear();
+            task.crashes = crash::History::default();
+        }
+        self.excess(max_bytes).is_none()
+    }
+
+    /// Returns by how many bytes the encoded progress exceeds a size; `None` if it doesn't.
+    fn excess(&self, max_bytes: u64) -> Option<u64> {
+        let excess = encoded_len(self).saturating_sub(max_bytes);
+        (excess > 0).then_some(excess)
+    }
+
+    /// Drops the longest checkpoints, of `bytes` together.
+    fn drop_checkpoints(&mut self, bytes: u64) {
+        let mut tasks: Vec<&mut Task> = self.tasks_mut().collect();
+        tasks.sort_by_key(|task| std::cmp::Reverse(task.checkpoint.len()));
+        let mut dropped = 0;
+        for task in tasks {
+            if dropped >= bytes {
+                return;
+            }
+            dropped += task.checkpoint.len() as u64;
+            task.checkpoint.clear();
+        }
+    }
+
+    fn tasks_mut(&mut self) -> impl Iterator<Item = &mut Task> {
+        let occurrences = self.occurrences.iter_mut();
+        occurrences.flat_map(|occurrence| &mut occurrence.tasks)
+    }
+
     /// Returns the runs that may still be executing.
     pub(super) fn assigned_runs(&self) -> Vec<AssignedRun> {
         let mut assigned_runs = Vec::new();
@@ -129,8 +178,43 @@
 pub struct Occurrence {
     /// Number of the occurrence.
     pub index: u32,
-    /// Tasks that have started at least once or are done, ordered by step and index.
+    /// Tasks that have started at least once and aren't done, ordered by step and index.
+    /// Earlier versions list those that are done as well.
     pub tasks: Vec<Task>,
+    /// Tasks that are done, by step.
+    #[serde(default, rename = "done", skip_serializing_if = "BTreeMap::is_empty")]
+    pub done: BTreeMap<u32, Spans>,
+}
+
+impl Occurrence {
+    /// Returns whether no task has started.
+    pub(super) fn is_untouched(&self) -> bool {
+        self.tasks.is_empty() && self.done.is_empty()
+    }
+}
+
+/// Returns the size of an encoded record, in bytes.
+pub(super) fn encoded_len<T: Serialize>(record: &T) -> u64 {
+    let mut counter = Counter(0);
+    match serde_json::to_writer(&mut counter, record) {
+        Ok(()) => counter.0,
+        // The counter takes every write, and records can be encoded.
+        Err(_) => u64::MAX,
+    }
+}
+
+/// A writer that counts bytes.
+struct Counter(u64);
+
+impl io::Write for Counter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len() as u64;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// Saved state of a task.
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -85,6 +85,8 @@
     /// Longest time for which runs of an earlier leader may continue without being
     /// observed.
     pub inherited_bound: Duration,
+    /// Largest record that the store takes, in bytes.
+    pub max_record_bytes: u64,
     /// Time for which finished jobs are kept.
     pub retention: Duration,
     /// Age of its registration up to which the capacity of an endpoint is relied on that
@@ -264,6 +266,8 @@
     unplaced: BTreeMap<String, Resource>,
     saves_in_flight: usize,
     last_save_at: Instant,
+    /// When the store last accepted progress; `None` if it hasn't yet.
+    accepted_save_at: Option<Instant>,
     deposed: bool,
     /// Since when the leader has been certain of its lease; `None` while it isn't.
     certain_since: Option<Instant>,
@@ -304,6 +308,7 @@
             unplaced: BTreeMap::new(),
             saves_in_flight: 0,
             last_save_at: now,
+            accepted_save_at: None,
             deposed: false,
             certain_since: None,
             hosts: hosts::Hosts::new(options.host_orders_per_second),
--- a/crates/core/src/job/scheduler/finish.rs
+++ b/crates/core/src/job/scheduler/finish.rs
@@ -132,7 +132,7 @@
             }
         }
         job.mark_changed(now);
-        job.close_done();
+        job.close_if_done(task.occurrence);
         let complete = job.is_complete();
         for run in others {
             self.stop(now, run, "another run of the task finished first");
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -238,11 +238,7 @@
     pub(super) fn open_occurrences(&mut self, now: Instant, wall: Timestamp) {
         for job in self.jobs.values_mut() {
             if !job.state.is_final() {
-                let before = job.next_occurrence;
-                job.open_due(now, wall);
-                if before != job.next_occurrence && before != 0 {
-                    job.mark_changed(now);
-                }
+                job.open_due(now, wall, self.options.max_record_bytes);
             }
         }
     }
--- a/crates/core/src/job/scheduler/save.rs
+++ b/crates/core/src/job/scheduler/save.rs
@@ -4,7 +4,8 @@
 
 use super::{Command, Progress, Scheduler};
 use crate::job::record::AssignedEndpoint;
-use crate::job::{JobKey, RunKey};
+use crate::job::refused_save::Refusals;
+use crate::job::{JobKey, RunKey, State};
 use crate::time::Instant;
 
 /// Time for which changes are collected before they are written.
@@ -60,6 +61,8 @@
     Saved(u64),
     /// Nothing was written; holds the revisions of the progress that is in the store.
     Conflict(Vec<(JobKey, u64)>),
+    /// Nothing was written, and the store would refuse the same write again.
+    Refused,
     /// The result is unknown. The same write may be sent again.
     Unknown,
 }
@@ -75,7 +78,8 @@
         for (key, job) in &self.jobs {
             let gathered = now.saturating_since(job.changed_at) >= BATCH_DELAY;
             let urgent = job.has_planned_starts || job.state.is_final();
-            if !job.is_saved() && !job.save_in_flight && (gathered || urgent) {
+            let may_write = !job.save_in_flight && job.refusals.is_due(now);
+            if !job.is_saved() && may_write && (gathered || urgent) {
                 due.push(key);
             }
         }
@@ -95,6 +99,9 @@
         let mut entries = 0;
         let fits = due.iter().take_while(|&&key| {
             let job = &self.jobs[key];
+            if job.refusals.is_alone() {
+                return false;
+            }
             entries += if job.state.is_final() {
                 FINAL_ENTRIES
             } else {
@@ -111,10 +118,12 @@
         }
         let save = |key: JobKey| {
             let job = &self.jobs[key];
+            let mut progress = job.snapshot(|run| self.assigned_endpoint(run));
+            progress.fit_into(self.options.max_record_bytes);
             Save {
                 job: key,
                 id: job.id.clone(),
-                progress: job.snapshot(|run| self.assigned_endpoint(run)),
+                progress,
                 generation: job.generation,
                 version: job.progress_version,
                 is_state_new: job.published_state != job.state,
@@ -150,6 +159,7 @@
         }
         match outcome {
             SaveOutcome::Unknown => {}
+            SaveOutcome::Refused => self.handle_refused_save(now, saves),
             SaveOutcome::Conflict(versions) => {
                 for &(key, version) in versions {
                     if let Some(job) = self.jobs.get_mut(key) {
@@ -158,6 +168,7 @@
                 }
             }
             SaveOutcome::Saved(version) => {
+                self.accepted_save_at = Some(now);
                 for save in saves {
                     if let Some(job) = self.jobs.get_mut(save.job) {
                         // The progress of a finished job is not kept.
@@ -166,6 +177,7 @@
                         job.saved_generation = save.generation;
                         job.has_planned_starts &= job.generation > save.generation;
                         job.changed_at = now;
+                        job.refusals = Refusals::default();
                     }
                 }
                 self.release_saved_ends(now, saves);
@@ -176,6 +188,30 @@
         }
     }
 
+    /// Handles a write that the store refuses for good: separates its jobs, or gives up a job
+    /// that is refused alone.
+    fn handle_refused_save(&mut self, now: Instant, saves: &[Save]) {
+        for save in saves {
+            let Some(job) = self.jobs.get_mut(save.job) else {
+                continue;
+            };
+            if saves.len() > 1 {
+                job.refusals.record_shared();
+                continue;
+            }
+            job.refusals.record_alone(now);
+            let is_exhausted = job.refusals.is_exhausted(self.accepted_save_at);
+            if is_exhausted && !job.state.is_final() {
+                self.finish(
+                    now,
+                    save.job,
+                    State::Failed,
+                    "the store refuses its progress",
+                );
+            }
+        }
+    }
+
     /// Lets endpoints forget ends whose effects are now in the store.
     fn release_saved_ends(&mut self, now: Instant, saves: &[Save]) {
         let mut settled_endpoints = Vec::new();
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Resource;
+use super::{Resource, record};
 use crate::time::Timestamp;
 
 /// Maximum size of a job's payload, in bytes.
@@ -17,6 +17,20 @@
 /// Maximum number of steps in a job.
 pub const MAX_STEPS: usize = 1_000;
 
+/// Maximum number of occurrences of a job that are open at the same time.
+const MAX_OPEN_OCCURRENCES: usize = 256;
+
+/// Maximum number of tasks in the open occurrences of a job, unless one occurrence alone has
+/// more.
+const MAX_OPEN_TASKS: u64 = 4_096;
+
+/// Size of a task in the record of its job's progress, in bytes. Checkpoints are left out if they
+/// don't fit.
+const TASK_RECORD_BYTES: u64 = 48;
+
+/// Part of a record that is kept for what it holds besides tasks, as a divisor.
+const RECORD_RESERVE_DIVISOR: u64 = 16;
+
 /// The specification of a job.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Spec {
@@ -158,6 +172,13 @@
     /// positions of both.
     #[error("step {0} waits for step {1}, which isn't an earlier one")]
     Order(usize, u32),
+    /// The progress of so many tasks doesn't fit into a record; holds their number, and the size
+    /// of a record in bytes.
+    #[error("{0} tasks, whose progress doesn't fit into the {1} bytes of a record")]
+    Progress(u64, u64),
+    /// The specification doesn't fit into a record; holds its size and that of a record in bytes.
+    #[error("the job takes {0} bytes, a record holds {1}")]
+    Size(u64, u64),
     /// A recurrence has no occurrences.
     #[error("a recurrence needs at least one occurrence")]
     Recurrence,
@@ -177,7 +198,7 @@
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(SpecError::Steps(self.steps.len()));
         }
-        let tasks = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let tasks = self.task_count();
         if tasks > MAX_TASKS {
             return Err(SpecError::Tasks(tasks));
         }
@@ -202,6 +223,25 @@
         Ok(())
     }
 
+    /// Validates that the store can hold the job and its progress, if records have at most
+    /// `max_record_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error that is found.
+    pub fn check_size(&self, max_record_bytes: u64) -> Result<(), SpecError> {
+        let room = max_record_bytes - max_record_bytes / RECORD_RESERVE_DIVISOR;
+        let tasks = self.task_count();
+        if tasks.saturating_mul(TASK_RECORD_BYTES) > room {
+            return Err(SpecError::Progress(tasks, max_record_bytes));
+        }
+        let size = record::encoded_len(self);
+        if size > room {
+            return Err(SpecError::Size(size, max_record_bytes));
+        }
+        Ok(())
+    }
+
     /// Returns the sum of the estimates along the longest chain of dependent steps, in
     /// milliseconds.
     pub fn critical_path_ms(&self) -> u64 {
@@ -217,6 +257,20 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns how many tasks an occurrence has.
+    pub fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
+    /// Returns how many occurrences are open at most at the same time. Further ones that are
+    /// due are opened as earlier ones end.
+    pub(super) fn max_open_occurrences(&self, max_record_bytes: u64) -> usize {
+        let storable = max_record_bytes / TASK_RECORD_BYTES / 2;
+        let fitting = MAX_OPEN_TASKS.min(storable) / self.task_count().max(1);
+        usize::try_from(fitting)
+            .map_or(1, |fitting| fitting.clamp(1, MAX_OPEN_OCCURRENCES))
+    }
+
     /// Returns all labels that the steps require.
     pub fn labels(&self) -> BTreeSet<&str> {
         self.steps
--- a/crates/core/tests/job_support/delivery.rs
+++ b/crates/core/tests/job_support/delivery.rs
@@ -126,6 +126,17 @@
         if !self.store_available {
             return SaveOutcome::Unknown;
         }
+        let size = |save: &Save| {
+            let encoded = serde_json::to_vec(&save.progress);
+            encoded.expect("progress can be encoded").len() as u64
+        };
+        let largest = saves.iter().map(size).max().unwrap_or(0);
+        self.observed.largest_record = self.observed.largest_record.max(largest);
+        let is_refused = |save: &Save| Some(&save.id) == self.refused_job.as_ref();
+        if largest > self.max_record_bytes || saves.iter().any(is_refused) {
+            self.observed.refused_writes += 1;
+            return SaveOutcome::Refused;
+        }
         let stored_version =
             |save: &Save| self.versions.get(&format!("p{}", save.id)).copied();
         let found: Vec<(JobKey, u64)> = saves
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -41,6 +41,9 @@
     gpu: 0,
 };
 
+/// Largest record that the store takes unless a test sets another limit, in bytes.
+pub const MAX_RECORD_BYTES: u64 = 1 << 20;
+
 /// Time that a host takes to move to another pool, in milliseconds.
 pub const MOVE_DURATION_MS: u64 = 1_500;
 
@@ -81,6 +84,10 @@
     pub delayed_starts: usize,
     /// Number of writes that failed because the stored revision differed.
     pub conflicts: usize,
+    /// Number of writes that the store refused for good.
+    pub refused_writes: usize,
+    /// Size of the largest record of progress that was to be written, in bytes.
+    pub largest_record: u64,
     /// Number of hold orders, which renew leases and request a report.
     pub holds: usize,
     /// Largest number of hosts that were in maintenance at once.
@@ -107,6 +114,10 @@
     pub authority: Authority,
     /// Whether the store responds to writes.
     pub store_available: bool,
+    /// Largest record that the store takes, in bytes.
+    pub max_record_bytes: u64,
+    /// Job whose progress the store refuses for good; `None` if there is none.
+    pub refused_job: Option<String>,
     /// Placement policy that must allow each start; `None` if there is none.
     pub policy: Option<Policy>,
     /// For how long endpoints that are started from now on are cold.
@@ -147,6 +158,7 @@
         lease_term: Duration::from_millis(5_000),
         max_lease: Duration::from_millis(6_000),
         inherited_bound: Duration::from_millis(9_425),
+        max_record_bytes: MAX_RECORD_BYTES,
         retention: Duration::from_secs(150),
         max_capacity_age: Duration::from_millis(3_800),
         cold: ColdLimits {
@@ -194,6 +206,20 @@
     simulation
 }
 
+/// Returns a simulation of pool `a` whose store takes records of at most `max_bytes`, after the
+/// hosts have been listed.
+pub fn simulation_with_max_record(hosts: usize, max_bytes: u64) -> Simulation {
+    let options = Options {
+        max_record_bytes: max_bytes,
+        ..options(Features::NONE)
+    };
+    let mut simulation = Simulation::with_options(configuration(&["a"]), options);
+    simulation.max_record_bytes = max_bytes;
+    simulation.add_hosts("a", hosts);
+    simulation.run_for(Duration::from_millis(200));
+    simulation
+}
+
 /// Returns a simulation of pool `a` with the given numbers of hosts in it and in the standby
 /// pool, after the hosts have been listed.
 pub fn simulation_with_spare(hosts: usize, spare: usize) -> Simulation {
@@ -285,6 +311,8 @@
             run_time_percent: BTreeMap::new(),
             authority: Authority::Certain,
             store_available: true,
+            max_record_bytes: MAX_RECORD_BYTES,
+            refused_job: None,
             policy: None,
             cold_remaining: Duration::ZERO,
             evacuated_zones: BTreeSet::new(),
--- a/crates/dispatch/src/front/request.rs
+++ b/crates/dispatch/src/front/request.rs
@@ -171,7 +171,11 @@
             Ok(spec) => spec,
             Err(reason) => return self.reject_job(call, &reason),
         };
-        if let Err(error) = spec.check() {
+        let max_record_bytes = self.node.settings.max_record_bytes;
+        let checked = spec
+            .check()
+            .and_then(|()| spec.check_size(max_record_bytes));
+        if let Err(error) = checked {
             return self.reject_job(call, &error.to_string());
         }
         submit::submit(&self.node, call, spec).await
--- a/crates/dispatch/src/front/submit.rs
+++ b/crates/dispatch/src/front/submit.rs
@@ -174,6 +174,10 @@
                 ExistingEntry::Replaceable(at) => revision = at,
             },
             Ok(CommitOutcome::LeaseNotFound) => return SubmitOutcome::Unanswered,
+            Ok(CommitOutcome::Refused(_)) if uncertain => {
+                return SubmitOutcome::Unanswered;
+            }
+            Ok(CommitOutcome::Refused(_)) => return SubmitOutcome::TurnedAway,
             Err(Failure::NotDone(_) | Failure::Compacted | Failure::TooLong)
                 if !uncertain =>
             {
@@ -277,7 +281,9 @@
             Ok(CommitOutcome::Conflict(_) | CommitOutcome::LeaseNotFound) => {
                 revision = None;
             }
-            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            Ok(CommitOutcome::Refused(_)) | Err(_) => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
         }
     }
     CancelOutcome::Unknown
--- a/crates/dispatch/src/lead/election.rs
+++ b/crates/dispatch/src/lead/election.rs
@@ -274,7 +274,7 @@
                 return won_revision(&items, leader)
                     .map_or(Written::Conflict, Written::Won);
             }
-            Ok(CommitOutcome::LeaseNotFound)
+            Ok(CommitOutcome::LeaseNotFound | CommitOutcome::Refused(_))
             | Err(Failure::NotDone(_) | Failure::Compacted | Failure::TooLong) => {
                 return refused;
             }
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -80,6 +80,17 @@
             SaveOutcome::Conflict(saves.iter().map(version).collect())
         }
         Ok(CommitOutcome::LeaseNotFound) => SaveOutcome::Unknown,
+        Ok(CommitOutcome::Refused(reason)) => {
+            shared.node.metrics.store_write("refused");
+            let ids: Vec<&str> = saves.iter().map(|save| save.id.as_str()).collect();
+            let fields = o!(
+                "reason" => reason,
+                "jobs" => saves.len(),
+                "job" => ids.join(" "),
+            );
+            event::log(&shared.node.log, Event::SaveFailed, fields);
+            SaveOutcome::Refused
+        }
         Err(failure) => {
             shared.node.metrics.store_write("failed");
             let fields = o!("reason" => failure.to_string(), "jobs" => saves.len());
--- a/crates/dispatch/src/lead/takeover.rs
+++ b/crates/dispatch/src/lead/takeover.rs
@@ -147,6 +147,7 @@
     let options = Options {
         lease_term,
         max_lease: settings.max_lease,
+        max_record_bytes: settings.max_record_bytes,
         inherited_bound: HOLD_GRACE
             + lease_term.mul_f64(CLOCK_DRIFT_FACTOR)
             + LEASE_MARGIN,
--- a/crates/dispatch/src/platform.rs
+++ b/crates/dispatch/src/platform.rs
@@ -201,6 +201,9 @@
     Conflict(Vec<Item>),
     /// The transaction names a lease that doesn't exist.
     LeaseNotFound,
+    /// The store refused the transaction for this reason, had no effect, and would refuse it
+    /// again, as a value is too large, for example.
+    Refused(String),
 }
 
 /// The key-value store that holds all durable state.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -27,6 +27,8 @@
     pub host_order_pause: Duration,
     /// Shortest lease TTL that the store grants.
     pub min_lease: Duration,
+    /// Largest value that the store takes, in bytes.
+    pub max_record_bytes: u64,
     /// Time for which the state of a finished job can be queried.
     pub retention: Duration,
     /// CPU share that the process may use, in cores.
--- a/crates/measure/src/job.rs
+++ b/crates/measure/src/job.rs
@@ -126,6 +126,7 @@
         let options = Options {
             lease_term: Duration::from_secs(5),
             max_lease: Duration::from_secs(6),
+            max_record_bytes: 1 << 20,
             inherited_bound: Duration::from_secs(10),
             retention: Duration::from_secs(150),
             max_capacity_age: Duration::from_millis(3_800),
