Count a job as begun once a start is known

Cause: the state became running when the first run was planned, and was stored with the plan. A rejected start took the run away, not the state.

Ruled out: a count that lags; it is written each half second and stayed at 0.

Change: state and pending follow from starts that are known: an accepted order, a run in a report, an end. Ranks still follow from the plan. The first start is published with the job's next change or within 0.5 s. The record tells whether a start is known; of records of earlier versions ends, checkpoints and completed work prove it, else endpoints' reports.

--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -10,6 +10,9 @@
 use super::{EndpointKey, Record, Resource, RunKey, Spec, State, Step, crash};
 use crate::time::{Instant, Timestamp};
 
+/// Time within which the first start of a job is published.
+const PUBLICATION_DELAY: Duration = Duration::from_millis(500);
+
 slotmap::new_key_type! {
     /// Key of a job in the scheduler's arena.
     pub struct JobKey;
@@ -206,6 +209,11 @@
     /// estimates.
     pub(super) run_time_percent: u64,
     pub(super) state: State,
+    /// Whether a task was ever assigned to an endpoint. Its start may have been rejected.
+    pub(super) is_placed: bool,
+    /// When the first start became known; `None` if that was before this leader's term, or there
+    /// is none.
+    pub(super) began_at: Option<Instant>,
     /// Number of the first occurrence that isn't complete.
     pub(super) first_open: u32,
     /// Number of the next occurrence to open.
@@ -251,7 +259,10 @@
             pool,
             limit: Resource::default(),
             run_time_percent: 100,
-            state: progress.state,
+            state: progress.proven_state(),
+            is_placed: progress.state != State::Queued
+                || !progress.occurrences.is_empty(),
+            began_at: None,
             first_open: progress.first_open,
             next_occurrence: progress.first_open,
             occurrences: BTreeMap::new(),
@@ -401,6 +412,22 @@
         })
     }
 
+    /// Records that a run of a task has started.
+    pub(super) fn begin(&mut self, now: Instant) {
+        if self.state == State::Queued {
+            self.state = State::Running;
+            self.began_at = Some(now);
+        }
+    }
+
+    /// Returns whether the published state is to be changed, although the progress is saved.
+    /// The first start alone isn't written at once, as other changes often follow.
+    pub(super) fn is_publication_due(&self, now: Instant) -> bool {
+        let since = self.began_at.unwrap_or(Instant::ZERO);
+        self.published_state != self.state
+            && now.saturating_since(since) >= PUBLICATION_DELAY
+    }
+
     /// Records a change that must be written to the store.
     pub(super) const fn mark_changed(&mut self, now: Instant) {
         if self.generation == self.saved_generation {
@@ -439,6 +466,7 @@
         };
         Progress {
             state: self.state,
+            has_begun: self.state == State::Running,
             first_open: self.first_open,
             members,
             closed: self.closed.clone(),
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -82,6 +82,10 @@
 pub struct Progress {
     /// State that is published to callers.
     pub state: State,
+    /// Whether a start is known, if the job is running. Earlier versions don't tell, and store a
+    /// job as running once a start is planned.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_begun: bool,
     /// Number of the first open occurrence. All earlier ones are done.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub first_open: u32,
@@ -107,6 +111,19 @@
 }
 
 impl Progress {
+    /// Returns the state of the job, as far as the record proves it.
+    pub(super) fn proven_state(&self) -> State {
+        let is_proven = self.has_begun || self.first_open > 0 || !self.closed.is_empty();
+        if self.state != State::Running || is_proven {
+            return self.state;
+        }
+        if self.occurrences.iter().any(Occurrence::has_begun) {
+            State::Running
+        } else {
+            State::Queued
+        }
+    }
+
     /// Leaves out what isn't needed for correctness until the encoded progress has at most
     /// `max_bytes`: checkpoints, the longest first, then crashes of endpoints. Returns whether
     /// it fits.
@@ -187,6 +204,14 @@
 }
 
 impl Occurrence {
+    /// Returns whether what is saved shows that a task has started.
+    fn has_begun(&self) -> bool {
+        let shows_start = |task: &Task| {
+            task.done || !task.failed_runs.is_empty() || !task.checkpoint.is_empty()
+        };
+        !self.done.is_empty() || self.tasks.iter().any(shows_start)
+    }
+
     /// Returns whether no task has started.
     pub(super) fn is_untouched(&self) -> bool {
         self.tasks.is_empty() && self.done.is_empty()
--- a/crates/core/src/job/scheduler/adopt.rs
+++ b/crates/core/src/job/scheduler/adopt.rs
@@ -56,6 +56,14 @@
         Some(run)
     }
 
+    /// Records that a run has started, so that its job is no longer waiting.
+    pub(super) fn begin_job_of(&mut self, now: Instant, run: RunKey) {
+        let job = self.runs[run].job();
+        if let Some(job) = job.and_then(|job| self.jobs.get_mut(job)) {
+            job.begin(now);
+        }
+    }
+
     /// Adds a run to its endpoint, its task and the usage of its workspace.
     pub(super) fn attach(
         &mut self,
@@ -79,10 +87,7 @@
                 .or_default()
                 .add(&demand);
         }
-        if job.state == crate::job::State::Queued {
-            job.state = crate::job::State::Running;
-            job.mark_changed(self.term_began_at);
-        }
+        job.is_placed = true;
         if let Some(task_state) = job.task_mut(task) {
             task_state.runs.push(run);
             task_state.last_run = task_state.last_run.max(number);
--- a/crates/core/src/job/scheduler/feasibility.rs
+++ b/crates/core/src/job/scheduler/feasibility.rs
@@ -15,7 +15,7 @@
 use super::rank::{self, Class, Rank};
 use super::{Scheduler, SchedulerEvent};
 use crate::job::live::Job;
-use crate::job::{Feature, JobKey, Resource, State, Step, TaskRef};
+use crate::job::{Feature, JobKey, Resource, Step, TaskRef};
 use crate::time::Instant;
 
 /// Number of runs after which the run times of a queue are known.
@@ -377,7 +377,7 @@
         job: &Job,
         capacity: &Resource,
     ) -> Result<Candidate, Exclusion> {
-        let begun = job.state != State::Queued;
+        let begun = job.is_placed;
         let exclusion = self.feasibility.excluded.get(&key);
         if begun && exclusion.is_some_and(|known| *known != Exclusion::Overdue) {
             return Err(Exclusion::Leftover);
@@ -417,7 +417,7 @@
             let sized = Sized {
                 key,
                 work: estimated_work(job),
-                begun: job.state != State::Queued,
+                begun: job.is_placed,
             };
             (job.record.queue.as_str(), sized)
         });
--- a/crates/core/src/job/scheduler/rank.rs
+++ b/crates/core/src/job/scheduler/rank.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use super::Scheduler;
+use crate::job::JobKey;
 use crate::job::live::Job;
-use crate::job::{JobKey, State};
 use crate::time::Instant;
 
 /// Divisor that gives the time to spare with which a job must begin, from the duration of
@@ -87,7 +87,7 @@
     let due_at = job.occurrences.values().next().and_then(|open| open.due_at);
     let deadline = due_at.unwrap_or(job.arrived_at) + job.parameters.late_after;
     let latest_start = deadline.saturating_sub(remaining);
-    let headway = if job.state != State::Queued {
+    let headway = if job.is_placed {
         Headway::Begun
     } else if latest_start < now + remaining / SPARE_TIME_DIVISOR {
         Headway::NoSpareTime
--- a/crates/core/src/job/scheduler/reply.rs
+++ b/crates/core/src/job/scheduler/reply.rs
@@ -40,10 +40,12 @@
         let (endpoint, phase, sent) = (run.endpoint, run.phase, run.sent_at);
         self.handle_reply(now, endpoint, sent, outcome);
         match outcome {
-            OrderOutcome::Done(_) if phase == Phase::Starting => {
-                self.runs[key].phase = Phase::Running(now);
+            OrderOutcome::Done(_) => {
+                self.begin_job_of(now, key);
+                if phase == Phase::Starting {
+                    self.runs[key].phase = Phase::Running(now);
+                }
             }
-            OrderOutcome::Done(_) => {}
             OrderOutcome::Unknown => self.start_unanswered(now, key),
             OrderOutcome::Replaced => {}
             OrderOutcome::NotSent => self.not_started(now, key, "not sent"),
--- a/crates/core/src/job/scheduler/report.rs
+++ b/crates/core/src/job/scheduler/report.rs
@@ -118,6 +118,7 @@
             endpoint: key,
         };
         if let Some(task) = self.find_task(&reported.name) {
+            self.jobs[task.job].begin(now);
             self.handle_run_end(now, task, &end);
         }
         // An end that is reported again may belong to an occurrence that is closed already,
@@ -169,6 +170,7 @@
     }
 
     pub(super) fn update_run(&mut self, now: Instant, key: RunKey, reported: &ActiveRun) {
+        self.begin_job_of(now, key);
         let run = &mut self.runs[key];
         run.percent = reported.percent;
         run.percent_at = now;
--- a/crates/core/src/job/scheduler/save.rs
+++ b/crates/core/src/job/scheduler/save.rs
@@ -78,8 +78,9 @@
         for (key, job) in &self.jobs {
             let gathered = now.saturating_since(job.changed_at) >= BATCH_DELAY;
             let urgent = job.has_planned_starts || job.state.is_final();
+            let is_changed = !job.is_saved() && (gathered || urgent);
             let may_write = !job.save_in_flight && job.refusals.is_due(now);
-            if !job.is_saved() && may_write && (gathered || urgent) {
+            if may_write && (is_changed || job.is_publication_due(now)) {
                 due.push(key);
             }
         }
