--- a/crates/core/src/job/endpoint.rs
+++ b/crates/core/src/job/endpoint.rs
@@ -308,7 +308,8 @@
     /// `term`.
     pub(super) fn lease_end(&self, now: Instant, term: Duration) -> u64 {
         let span = now.saturating_since(self.clock.at) + term;
-        self.clock.reading_ms + u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+        let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        self.clock.reading_ms.saturating_add(span_ms)
     }
 
     /// Returns how long ago at least the registration was written; `None` if the reading of
--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -487,7 +487,8 @@
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
             attempts: queue.map_or(1, |queue| queue.attempts).max(1),
             late_after,
-            max_run_time_percent: 100 + slack_ms.saturating_mul(50) / chain_ms.max(1),
+            max_run_time_percent: (slack_ms.saturating_mul(50) / chain_ms.max(1))
+                .saturating_add(100),
             placement_policy: queue.and_then(|queue| queue.placement_policy),
         }
     }
@@ -504,5 +505,5 @@
     )]
     let stretched = (chain_ms as f64 * queue.stretch) as u64;
     let slack_ms = u64::try_from(queue.target_latency.as_millis()).unwrap_or(u64::MAX);
-    Duration::from_millis(stretched + slack_ms)
+    Duration::from_millis(stretched.saturating_add(slack_ms))
 }
--- a/crates/core/src/job/resource.rs
+++ b/crates/core/src/job/resource.rs
@@ -2,6 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Largest amount in one dimension that a job may ask for or an endpoint may have. It is far
+/// beyond any host, and sums over a fleet stay exact.
+pub const MAX_AMOUNT: u64 = 1 << 40;
+
 /// An amount of CPU, memory and accelerators.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Resource {
@@ -16,9 +20,7 @@
 impl Resource {
     /// Returns whether this amount fits into `capacity` in addition to `used`.
     pub const fn fits(&self, used: &Self, capacity: &Self) -> bool {
-        used.cpu + self.cpu <= capacity.cpu
-            && used.memory_mb + self.memory_mb <= capacity.memory_mb
-            && used.gpu + self.gpu <= capacity.gpu
+        self.plus(used).is_at_most(capacity)
     }
 
     /// Returns whether this amount is at most `other` in every dimension.
@@ -43,17 +45,29 @@
     /// Returns whether this amount stays within `limit` in addition to `used`. A limit of
     /// 0 stands for no limit in that dimension.
     pub const fn is_within(&self, used: &Self, limit: &Self) -> bool {
-        (limit.cpu == 0 || used.cpu + self.cpu <= limit.cpu)
-            && (limit.memory_mb == 0
-                || used.memory_mb + self.memory_mb <= limit.memory_mb)
-            && (limit.gpu == 0 || used.gpu + self.gpu <= limit.gpu)
+        let total = self.plus(used);
+        (limit.cpu == 0 || total.cpu <= limit.cpu)
+            && (limit.memory_mb == 0 || total.memory_mb <= limit.memory_mb)
+            && (limit.gpu == 0 || total.gpu <= limit.gpu)
     }
 
-    /// Adds another amount to this one.
+    /// Adds another amount to this one, up to the largest value in each dimension.
     pub const fn add(&mut self, other: &Self) {
-        self.cpu += other.cpu;
-        self.memory_mb += other.memory_mb;
-        self.gpu += other.gpu;
+        *self = self.plus(other);
+    }
+
+    /// Returns the sum of two amounts, up to the largest value in each dimension.
+    const fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            gpu: self.gpu.saturating_add(other.gpu),
+        }
+    }
+
+    /// Returns whether no dimension exceeds [`MAX_AMOUNT`].
+    pub const fn is_plausible(&self) -> bool {
+        self.cpu <= MAX_AMOUNT && self.memory_mb <= MAX_AMOUNT && self.gpu <= MAX_AMOUNT
     }
 
     /// Subtracts another amount from this one, saturating at zero.
@@ -67,7 +81,7 @@
     /// shares of CPU and memory, each in thousandths.
     pub fn free_permille(&self, used: &Self) -> u64 {
         let spare = |capacity: u64, used: u64| {
-            capacity.saturating_sub(used) * 1_000 / capacity.max(1)
+            capacity.saturating_sub(used).saturating_mul(1_000) / capacity.max(1)
         };
         spare(self.cpu, used.cpu) + spare(self.memory_mb, used.memory_mb)
     }
@@ -113,12 +127,12 @@
         }
     }
 
-    /// Returns this amount multiplied by `times`.
+    /// Returns this amount multiplied by `times`, up to the largest value in each dimension.
     pub const fn times(&self, times: u64) -> Self {
         Self {
-            cpu: self.cpu * times,
-            memory_mb: self.memory_mb * times,
-            gpu: self.gpu * times,
+            cpu: self.cpu.saturating_mul(times),
+            memory_mb: self.memory_mb.saturating_mul(times),
+            gpu: self.gpu.saturating_mul(times),
         }
     }
 }
--- a/crates/core/src/job/scheduler/backlog.rs
+++ b/crates/core/src/job/scheduler/backlog.rs
@@ -49,7 +49,7 @@
             return None;
         }
         let run_ms = self.feasibility.mean_run_ms(&job.record.queue, step);
-        let room = run.reserved.cpu * 1_000 / run_ms.max(1);
+        let room = run.reserved.cpu.saturating_mul(1_000) / run_ms.max(1);
         Some((job.pool.as_str(), room))
     }
 }
--- a/crates/core/src/job/scheduler/capacity.rs
+++ b/crates/core/src/job/scheduler/capacity.rs
@@ -337,9 +337,9 @@
 /// Returns the capacity that a pool must hold for tasks that need `amount`.
 const fn with_unfilled_share(amount: &Resource) -> Resource {
     Resource {
-        cpu: amount.cpu * 100 / FILL_PERCENT,
-        memory_mb: amount.memory_mb * 100 / FILL_PERCENT,
-        gpu: amount.gpu * 100 / FILL_PERCENT,
+        cpu: amount.cpu.saturating_mul(100) / FILL_PERCENT,
+        memory_mb: amount.memory_mb.saturating_mul(100) / FILL_PERCENT,
+        gpu: amount.gpu.saturating_mul(100) / FILL_PERCENT,
     }
 }
 
--- a/crates/core/src/job/scheduler/feasibility.rs
+++ b/crates/core/src/job/scheduler/feasibility.rs
@@ -130,7 +130,7 @@
 
     /// Returns the mean run time of a step's tasks in milliseconds.
     pub(super) fn mean_run_ms(&self, queue: &str, step: &Step) -> u64 {
-        step.estimate_ms * self.factors(queue).mean / 100
+        step.estimate_ms.saturating_mul(self.factors(queue).mean) / 100
     }
 
     /// Returns the factors of a queue.
@@ -458,8 +458,8 @@
         };
         let mut ends: Vec<u64> = Vec::with_capacity(job.record.spec.steps.len());
         for (step, group) in job.record.spec.steps.iter().zip(&occurrence.groups) {
-            let mean_ms = step.estimate_ms * factors.mean / 100;
-            let longest_ms = step.estimate_ms * factors.step / 100;
+            let mean_ms = step.estimate_ms.saturating_mul(factors.mean) / 100;
+            let longest_ms = step.estimate_ms.saturating_mul(factors.step) / 100;
             let (mut duration_ms, mut busy_ms, mut has_waiting) = (0, 0, false);
             for task in group.tasks.iter().filter(|task| !task.done) {
                 let sent_at = task.runs.iter().map(|&run| self.runs[run].sent_at).min();
@@ -584,18 +584,20 @@
 /// milliseconds.
 fn estimated_work(job: &Job) -> u64 {
     let steps = job.record.spec.steps.iter();
-    let work =
-        steps.map(|step| u64::from(step.count) * step.demand.cpu * step.estimate_ms);
-    work.sum()
+    let work = steps.map(|step| {
+        let tasks = step.demand.times(u64::from(step.count));
+        tasks.cpu.saturating_mul(step.estimate_ms)
+    });
+    work.fold(0, u64::saturating_add)
 }
 
 impl Resource {
     /// Returns a share of an amount, in percent.
     const fn percent(&self, percent: u64) -> Self {
         Self {
-            cpu: self.cpu * percent / 100,
-            memory_mb: self.memory_mb * percent / 100,
-            gpu: self.gpu * percent / 100,
+            cpu: self.cpu.saturating_mul(percent) / 100,
+            memory_mb: self.memory_mb.saturating_mul(percent) / 100,
+            gpu: self.gpu.saturating_mul(percent) / 100,
         }
     }
 }
--- a/crates/core/src/job/scheduler/place.rs
+++ b/crates/core/src/job/scheduler/place.rs
@@ -444,7 +444,7 @@
         let last = self.jobs[task.job]
             .task(task)
             .map_or(0, |task| task.last_run);
-        last + 1
+        last.saturating_add(1)
     }
 
     /// Assigns a task to an endpoint. The start order is sent once the assignment is
--- a/crates/core/src/job/scheduler/preempt.rs
+++ b/crates/core/src/job/scheduler/preempt.rs
@@ -198,6 +198,7 @@
             }
         });
         let millis = now.saturating_since(since).as_millis();
-        run.reserved.cpu * u64::try_from(millis).unwrap_or(u64::MAX)
+        let millis = u64::try_from(millis).unwrap_or(u64::MAX);
+        run.reserved.cpu.saturating_mul(millis)
     }
 }
--- a/crates/core/src/job/scheduler/rank.rs
+++ b/crates/core/src/job/scheduler/rank.rs
@@ -128,7 +128,7 @@
         } else {
             job.expected_run_time_ms(step)
         };
-        ends.push(start + duration_ms);
+        ends.push(start.saturating_add(duration_ms));
     }
     Duration::from_millis(ends.into_iter().max().unwrap_or(0))
 }
--- a/crates/core/src/job/scheduler/reply.rs
+++ b/crates/core/src/job/scheduler/reply.rs
@@ -82,8 +82,9 @@
                 if let Some(task) = task
                     && let Some(task_state) = self.jobs[task.job].task_mut(task)
                 {
-                    task_state.last_run =
-                        task_state.last_run.max(number + RUN_NUMBER_STEP);
+                    task_state.last_run = task_state
+                        .last_run
+                        .max(number.saturating_add(RUN_NUMBER_STEP));
                 }
             }
             Rejection::Malformed => endpoint.no_placement_until = now + UNHEALTHY_PAUSE,
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::resource::MAX_AMOUNT;
 use super::{Resource, record};
 use crate::time::Timestamp;
 
@@ -17,6 +18,9 @@
 /// Maximum number of steps in a job.
 pub const MAX_STEPS: usize = 1_000;
 
+/// Maximum estimate of a task's run time, in milliseconds. It is about 35 years.
+pub const MAX_ESTIMATE_MS: u64 = 1 << 40;
+
 /// Maximum number of occurrences of a job that are open at the same time.
 const MAX_OPEN_OCCURRENCES: usize = 256;
 
@@ -179,6 +183,12 @@
     /// The specification doesn't fit into a record; holds its size and that of a record in bytes.
     #[error("the job takes {0} bytes, a record holds {1}")]
     Size(u64, u64),
+    /// A step asks for more resources than any endpoint has; holds its position.
+    #[error("step {0} asks for more than {MAX_AMOUNT} of a resource")]
+    Amount(usize),
+    /// A step has an estimate beyond all limits; holds its position.
+    #[error("the estimate of step {0} exceeds {MAX_ESTIMATE_MS} ms")]
+    Estimate(usize),
     /// A recurrence has no occurrences.
     #[error("a recurrence needs at least one occurrence")]
     Recurrence,
@@ -212,6 +222,12 @@
             if step.count == 0 {
                 return Err(SpecError::Empty(position));
             }
+            if !step.demand.is_plausible() {
+                return Err(SpecError::Amount(position));
+            }
+            if step.estimate_ms > MAX_ESTIMATE_MS {
+                return Err(SpecError::Estimate(position));
+            }
             let wrong = step
                 .after
                 .iter()
@@ -252,7 +268,7 @@
                 .iter()
                 .filter_map(|&earlier| ends.get(earlier as usize));
             let start = ready.copied().max().unwrap_or(0);
-            ends.push(start + step.estimate_ms);
+            ends.push(start.saturating_add(step.estimate_ms));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/core/tests/job_support/delivery.rs
+++ b/crates/core/tests/job_support/delivery.rs
@@ -265,10 +265,10 @@
         let record = &self.records[&order.name.job];
         let mut step = record.spec.steps[order.name.step as usize].clone();
         let percent = self.run_time_percent.get(&record.queue).unwrap_or(&100);
-        step.estimate_ms = step.estimate_ms * percent / 100;
+        step.estimate_ms = step.estimate_ms.saturating_mul(*percent) / 100;
         let task = order.name.to_string();
         if let Some(percent) = self.run_time_percents.get(&task) {
-            step.estimate_ms = step.estimate_ms * percent / 100;
+            step.estimate_ms = step.estimate_ms.saturating_mul(*percent) / 100;
         }
         let id = &order.target.id;
         let endpoint = self
--- a/crates/standin/src/users/http.rs
+++ b/crates/standin/src/users/http.rs
@@ -31,12 +31,12 @@
 
 impl ReceivedRequest {
     /// Returns the value of a query parameter, empty if it is missing.
-    pub(crate) fn query(&self, name: &str) -> &str {
+    pub(crate) fn query(&self, name: &str) -> String {
         self.query
             .split('&')
             .filter_map(|pair| pair.split_once('='))
             .find(|(key, _)| *key == name)
-            .map_or("", |(_, value)| value)
+            .map_or_else(String::new, |(_, value)| decode_query(value))
     }
 
     /// Returns an unsigned integer field of the body, zero if it is missing.
@@ -45,6 +45,27 @@
     }
 }
 
+/// Decodes the percent-encoded value of a query parameter.
+fn decode_query(value: &str) -> String {
+    let mut bytes = Vec::with_capacity(value.len());
+    let mut rest = value.as_bytes();
+    while let Some((&first, after)) = rest.split_first() {
+        let code = after.get(..2).filter(|_| first == b'%');
+        let code = code.and_then(|code| std::str::from_utf8(code).ok());
+        match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
+            Some(byte) => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            None => {
+                bytes.push(first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// The status and body of a response; `None` closes the connection without a response.
 pub(crate) type Reply = Option<(StatusCode, Value)>;
 
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -65,8 +65,8 @@
 
 fn get(state: &State, call: &ReceivedRequest) -> (StatusCode, Value) {
     let key = call.query("key");
-    match state.items.get(key) {
-        Some(item) => (StatusCode::OK, State::item_json(key, item)),
+    match state.items.get(&key) {
+        Some(item) => (StatusCode::OK, State::item_json(&key, item)),
         None => (StatusCode::NOT_FOUND, Value::Null),
     }
 }
@@ -76,7 +76,7 @@
     let mut items: Vec<Value> = state
         .items
         .iter()
-        .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
+        .filter(|(key, _)| key.starts_with(&prefix) && *key > &after)
         .take(PAGE_SIZE + 1)
         .map(|(key, item)| State::item_json(key, item))
         .collect();
@@ -115,7 +115,7 @@
                 .partition_point(|(revision, ..)| *revision <= after);
             let events: Vec<Value> = state.history[first..]
                 .iter()
-                .filter(|(_, key, _)| key.starts_with(prefix))
+                .filter(|(_, key, _)| key.starts_with(&prefix))
                 .map(|(revision, key, item)| match item {
                     Some(item) => State::item_json(key, item),
                     None => json!({"key": key, "revision": revision, "deleted": true}),
