Saturate the run time from which a task counts as a straggler

Cause: an estimate of a stored job, times the usual run time in percent.

Change: both products there saturate.

Measured: 9 of 9 cases of job_amounts pass now, seen after the change.

--- a/crates/core/src/job/scheduler/straggler.rs
+++ b/crates/core/src/job/scheduler/straggler.rs
@@ -69,7 +69,10 @@
             return;
         }
         let took_ms = now.saturating_since(run.sent_at).as_millis();
-        let percent = u64::try_from(took_ms).unwrap_or(u64::MAX) * 100 / estimate_ms;
+        let percent = u64::try_from(took_ms)
+            .unwrap_or(u64::MAX)
+            .saturating_mul(100)
+            / estimate_ms;
         let queue = self.jobs[task.job].record.queue.clone();
         self.run_time_ratios.record(&queue, percent);
         self.feasibility.learn_run_time(&queue, percent);
@@ -128,8 +131,8 @@
         let remote = !step.affinity.is_empty()
             && !endpoint.registration.labels.contains(&step.affinity);
         let remote_factor = if remote { 2 } else { 1 };
-        let usual_ms = step.estimate_ms * usual_percent / 100;
-        let usual = Duration::from_millis(usual_ms * remote_factor);
+        let usual_ms = step.estimate_ms.saturating_mul(usual_percent) / 100;
+        let usual = Duration::from_millis(usual_ms.saturating_mul(remote_factor));
         let overdue = usual * OVERDUE_PERCENT / 100 + OVERDUE_SLACK;
         run.started_by_this_leader
             && endpoint.reachability == Reachability::Reachable
