Record each change of an endpoint's capacity

Cause: an update of a registration was taken over without an event.

Ruled out: the event of placements, which shows the free amount only where something is placed.

Change: event 414, EndpointResized, with both values, the amount in use and the age of the entry.

--- a/crates/core/src/job/scheduler/event.rs
+++ b/crates/core/src/job/scheduler/event.rs
@@ -130,6 +130,19 @@
         /// Start time of the incarnation, in milliseconds since the Unix epoch.
         born: u64,
     },
+    /// The capacity of an endpoint changed while it was running.
+    EndpointResized {
+        /// Identity of the endpoint.
+        endpoint: String,
+        /// Capacity before the change.
+        earlier: Resource,
+        /// Capacity from now on.
+        capacity: Resource,
+        /// Amount that its runs reserve.
+        used: Resource,
+        /// Time since the registration was written; `None` if that isn't known.
+        age: Option<Duration>,
+    },
     /// An endpoint has restarted under its identity.
     EndpointRestarted {
         /// Identity of the endpoint.
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -70,8 +70,20 @@
         registration: Registration,
     ) {
         let endpoint = &mut self.endpoints[key];
+        let earlier = endpoint.registration.capacity;
         endpoint.registration = registration;
         endpoint.registered_at = now;
+        let capacity = endpoint.registration.capacity;
+        if capacity != earlier {
+            self.events.push(SchedulerEvent::EndpointResized {
+                endpoint: endpoint.registration.id.clone(),
+                earlier,
+                capacity,
+                used: endpoint.used,
+                age: endpoint.registration_age(now),
+            });
+        }
+        let endpoint = &mut self.endpoints[key];
         endpoint.is_registration_unreadable = false;
         endpoint.unregistered_since = None;
         self.update_evacuated(key);
--- a/crates/core/tests/job_shrunk_endpoint.rs
+++ b/crates/core/tests/job_shrunk_endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rhubarbrill_core::job::scheduler::SchedulerEvent;
 use rhubarbrill_core::job::{Resource, State, Step};
 use rstest::rstest;
 
@@ -205,3 +206,31 @@
     simulation.publish(&id);
     assert!(simulation.run_until_finished(&job, 2 * SECOND));
 }
+
+/// Guards against a change of capacity that no log shows: each one is recorded, with both values
+/// and the amount in use, and a registration that changes nothing isn't.
+#[test]
+fn change_of_capacity_is_recorded_once() {
+    let mut simulation = simulation(1);
+    simulation.submit("a", spec(vec![step(2, 8_000, 5_000)]));
+    simulation.run_for(SECOND);
+    simulation.scheduler.take_events();
+    for percent in [55, 55, 100] {
+        resize_all(&mut simulation, capacity(percent));
+    }
+    let events = simulation.scheduler.take_events();
+    let changes: Vec<_> = events
+        .into_iter()
+        .filter_map(|event| match event {
+            SchedulerEvent::EndpointResized {
+                earlier,
+                capacity,
+                used,
+                ..
+            } => Some((earlier, capacity, used.cpu)),
+            _ => None,
+        })
+        .collect();
+    let (full, shrunk) = (capacity(100), capacity(55));
+    assert_eq!(changes, [(full, shrunk, 16_000), (shrunk, full, 16_000)]);
+}
--- a/crates/dispatch/src/lead/notes.rs
+++ b/crates/dispatch/src/lead/notes.rs
@@ -137,6 +137,22 @@
             let fields = o!("endpoint" => endpoint, "reason" => reason, "runs" => runs);
             event::log(out, Event::EndpointLost, fields);
         }
+        SchedulerEvent::EndpointResized {
+            endpoint,
+            earlier,
+            capacity,
+            used,
+            age,
+        } => {
+            let fields = o!(
+                "endpoint" => endpoint,
+                "earlier" => format!("{earlier:?}"),
+                "capacity" => format!("{capacity:?}"),
+                "used" => format!("{used:?}"),
+                "age_ms" => age.map(millis),
+            );
+            event::log(out, Event::EndpointResized, fields);
+        }
         SchedulerEvent::EndpointRestarted {
             endpoint,
             lost,
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -158,6 +158,8 @@
     EndpointRestarted = 413, Warning,
         "An endpoint has restarted under its identity; what it may be executing is looked for.",
         "Check the host if it repeats.";
+    EndpointResized = 414, Info,
+        "The capacity of a running endpoint changed.", "Nothing. Check the host if it repeats.";
     RequestRefused = 500, Info,
         "A request was rejected before it was sent to an endpoint.", "Nothing.";
     RequestFailed = 501, Warning,
