--- a/crates/core/tests/job_crash.rs
+++ b/crates/core/tests/job_crash.rs
@@ -278,3 +278,37 @@
     simulation.run_for(120 * SECOND);
     assert_eq!(simulation.state(&suspect), State::Completed);
 }
+
+/// Load pattern: for ten seconds one job in ten crashes its endpoints, and the leader is lost
+/// meanwhile. Guards against a new leader that starts such tasks anew, or gives up the jobs
+/// beside them.
+#[rstest]
+#[case::leader_stays(None)]
+#[case::leader_lost(Some(60))]
+#[case::leader_lost_early(Some(20))]
+fn jobs_beside_many_crashing_jobs_complete(#[case] leader_lost_after: Option<usize>) {
+    const JOBS: usize = 100;
+    let mut simulation = simulation(12);
+    let (mut crashing, mut others) = (Vec::new(), Vec::new());
+    for number in 0..JOBS {
+        let id = simulation.submit("a", spec(vec![step(3, 2_000, 800)]));
+        if number.is_multiple_of(10) {
+            simulation.add_culprits(&[format!("{id}.0.0.0")]);
+            crashing.push(id);
+        } else {
+            others.push(id);
+        }
+        simulation.run_for(SECOND / 10);
+        if leader_lost_after == Some(number) {
+            simulation.elect_new_leader(false);
+        }
+    }
+    simulation.run_for(4 * SETTLING_TIME);
+    for id in &crashing {
+        let starts = start_count(&simulation, &format!("{id}.0.0.0"));
+        assert!(starts <= MAX_STARTS, "{id} was started {starts} times");
+    }
+    for id in &others {
+        assert_eq!(simulation.state(id), State::Completed, "{id}");
+    }
+}
--- a/crates/core/tests/job_shrunk_endpoint.rs
+++ b/crates/core/tests/job_shrunk_endpoint.rs
@@ -234,3 +234,39 @@
     let (full, shrunk) = (capacity(100), capacity(55));
     assert_eq!(changes, [(full, shrunk, 16_000), (shrunk, full, 16_000)]);
 }
+
+/// Load pattern: a quarter of the endpoints shrink to about half, and a burst arrives. Guards
+/// against starts beyond what they have left, and against a burst that waits although the other
+/// endpoints have room, also if the leader is lost meanwhile.
+#[rstest]
+#[case::leader_stays(false)]
+#[case::leader_lost(true)]
+fn burst_beside_shrunk_endpoints_starts_where_there_is_room(#[case] leader_lost: bool) {
+    let mut simulation = simulation(8);
+    stop_enforcing(&mut simulation);
+    let mut jobs = Vec::new();
+    let mut submit = |simulation: &mut Simulation, count| {
+        for _ in 0..count {
+            jobs.push(simulation.submit("a", spec(vec![step(4, 2_000, 1_000)])));
+        }
+    };
+    submit(&mut simulation, 16);
+    simulation.run_for(2 * SECOND);
+    for id in endpoint_ids(&simulation).iter().take(2) {
+        simulation.resize(id, capacity(55));
+        simulation.publish(id);
+    }
+    submit(&mut simulation, 24);
+    if leader_lost {
+        simulation.run_for(SECOND / 20);
+        simulation.elect_new_leader(false);
+        for id in endpoint_ids(&simulation) {
+            simulation.publish(&id);
+        }
+    }
+    simulation.run_for(5 * SECOND);
+    assert_eq!(simulation.overloads(), 0);
+    for job in &jobs {
+        assert_eq!(simulation.state(job), State::Completed, "{job}");
+    }
+}
