Make the first write of progress depend on the job's record

Cause: that write requires that there is no progress, which holds again once the job is finished.

Ruled out: later writes, which require the revision of the one before, and the last one, which changes nothing if it is made twice.

Change: the first write also requires the job's own record, which the last write removes.

--- a/crates/core/src/job/live.rs
+++ b/crates/core/src/job/live.rs
@@ -235,6 +235,8 @@
     pub(super) refusals: Refusals,
     /// Whether planned starts are waiting until the job is saved.
     pub(super) has_planned_starts: bool,
+    /// Store revision of the job's record.
+    pub(super) record_version: u64,
     /// Store revision of the saved progress; 0 if none is saved.
     pub(super) progress_version: u64,
 }
@@ -274,6 +276,7 @@
             save_in_flight: false,
             refusals: Refusals::default(),
             has_planned_starts: false,
+            record_version: 0,
             progress_version: 0,
         };
         for saved in progress.occurrences {
@@ -436,6 +439,11 @@
         self.generation += 1;
     }
 
+    /// Returns whether the next write of progress is the first one, and not also the last.
+    pub(super) const fn is_first_write(&self) -> bool {
+        self.progress_version == 0 && !self.state.is_final()
+    }
+
     pub(super) const fn is_saved(&self) -> bool {
         self.generation == self.saved_generation
     }
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -205,6 +205,7 @@
             .map(Progress::assigned_runs)
             .unwrap_or_default();
         let mut job = Job::new(id.to_owned(), record, declared, progress, arrived_at);
+        job.record_version = version;
         job.progress_version = progress_version;
         job.over_submission_rate = !self.is_within_submission_rate(now, &job.record);
         if version >= self.term.start_revision
--- a/crates/core/src/job/scheduler/save.rs
+++ b/crates/core/src/job/scheduler/save.rs
@@ -19,7 +19,7 @@
 const FINAL_ENTRIES: usize = 5;
 
 /// Entries for an unfinished job: a condition and its progress. A changed state adds one
-/// more.
+/// more, and so does the first write.
 const PROGRESS_ENTRIES: usize = 2;
 
 /// Maximum number of writes in flight. With several writes, a store that is slow or loses
@@ -43,6 +43,10 @@
     pub generation: u64,
     /// Store revision of the progress that this one replaces; 0 if there is none.
     pub version: u64,
+    /// Store revision of the job's record, which must still be there for the first write of
+    /// progress. Otherwise one that is executed late would put back the state of a job that is
+    /// finished. `None` for other writes.
+    pub record_version: Option<u64>,
     /// Whether the state that is published to callers changes.
     pub is_state_new: bool,
 }
@@ -106,7 +110,9 @@
             entries += if job.state.is_final() {
                 FINAL_ENTRIES
             } else {
-                PROGRESS_ENTRIES + usize::from(job.published_state != job.state)
+                PROGRESS_ENTRIES
+                    + usize::from(job.published_state != job.state)
+                    + usize::from(job.is_first_write())
             };
             entries <= MAX_ENTRIES
         });
@@ -127,6 +133,7 @@
                 progress,
                 generation: job.generation,
                 version: job.progress_version,
+                record_version: job.is_first_write().then_some(job.record_version),
                 is_state_new: job.published_state != job.state,
             }
         };
--- a/crates/core/tests/job_store.rs
+++ b/crates/core/tests/job_store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rhubarbrill_core::job::State;
 use rhubarbrill_core::job::scheduler::{Authority, Command, SaveOutcome};
 use rhubarbrill_core::time::Instant;
 
@@ -181,3 +182,15 @@
     assert_eq!(simulation.observed.starts.len(), 8);
     assert_eq!(simulation.observed.starts_at_removed_endpoints, 0);
 }
+
+/// Guards against a completed job that is shown as running: the first write of its progress got
+/// no answer and is executed after its last one.
+#[test]
+fn first_write_that_is_executed_late_puts_nothing_back() {
+    let mut simulation = simulation(1);
+    simulation.delays_next_write = true;
+    let job = simulation.submit("a", spec(vec![step(1, 1_000, 300)]));
+    assert!(simulation.run_until_finished(&job, 3 * SECOND));
+    simulation.execute_delayed_writes();
+    assert_eq!(simulation.state(&job), State::Completed);
+}
--- a/crates/core/tests/job_support/delivery.rs
+++ b/crates/core/tests/job_support/delivery.rs
@@ -126,6 +126,21 @@
         if !self.store_available {
             return SaveOutcome::Unknown;
         }
+        if std::mem::take(&mut self.delays_next_write) {
+            self.delayed_writes.push(saves.to_vec());
+            return SaveOutcome::Unknown;
+        }
+        self.execute_write(saves)
+    }
+
+    /// Executes the writes whose answers were lost, as far as their conditions hold.
+    pub fn execute_delayed_writes(&mut self) {
+        for saves in std::mem::take(&mut self.delayed_writes) {
+            self.execute_write(&saves);
+        }
+    }
+
+    fn execute_write(&mut self, saves: &[Save]) -> SaveOutcome {
         let size = |save: &Save| {
             let encoded = serde_json::to_vec(&save.progress);
             encoded.expect("progress can be encoded").len() as u64
@@ -148,6 +163,13 @@
             self.observed.conflicts += 1;
             return SaveOutcome::Conflict(found);
         }
+        let lacks_record = |save: &Save| {
+            let is_gone = self.finished_jobs.contains(&save.id);
+            save.record_version.is_some() && is_gone
+        };
+        if saves.iter().any(lacks_record) {
+            return SaveOutcome::Conflict(found);
+        }
         self.revision += 1;
         for save in saves {
             let key = format!("p{}", save.id);
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -19,8 +19,8 @@
 use rhubarbrill_core::job::configuration::{Pool, Queue, Workspace};
 use rhubarbrill_core::job::record::Record;
 use rhubarbrill_core::job::scheduler::{
-    Authority, ColdLimits, EvacuationReport, Host, HostState, Options, Scheduler, Term,
-    WaveState,
+    Authority, ColdLimits, EvacuationReport, Host, HostState, Options, Save, Scheduler,
+    Term, WaveState,
 };
 use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
@@ -116,6 +116,10 @@
     pub store_available: bool,
     /// Largest record that the store takes, in bytes.
     pub max_record_bytes: u64,
+    /// Whether the next write gets no answer and is executed later.
+    pub delays_next_write: bool,
+    /// Writes that got no answer and weren't executed yet.
+    delayed_writes: Vec<Vec<Save>>,
     /// Job whose progress the store refuses for good; `None` if there is none.
     pub refused_job: Option<String>,
     /// Placement policy that must allow each start; `None` if there is none.
@@ -313,6 +317,8 @@
             store_available: true,
             max_record_bytes: MAX_RECORD_BYTES,
             refused_job: None,
+            delays_next_write: false,
+            delayed_writes: Vec::new(),
             policy: None,
             cold_remaining: Duration::ZERO,
             evacuated_zones: BTreeSet::new(),
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -43,6 +43,10 @@
             key: key::progress(&save.id),
             revision: save.version,
         });
+        conditions.extend(save.record_version.map(|revision| Condition {
+            key: key::job(&save.id),
+            revision,
+        }));
         if save.is_state_new {
             writes.extend(record_write(
                 shared,
