Soak endpoints that restart behind a cut and that reject starts

Cause: neither trouble existed in the stand-in.

Change: a third kind of run, of whose faults every second one is a restart behind a cut, which the store doesn't show until the fault ends, or an endpoint that rejects starts.

--- a/crates/rhubarbrilld/tests/soak/deployment.rs
+++ b/crates/rhubarbrilld/tests/soak/deployment.rs
@@ -125,7 +125,10 @@
     fn heal(&mut self) {
         self.users.set_store_fault(StoreFault::None);
         for index in 0..ENDPOINTS {
-            self.users.resize(&format!("i-{index}"), FULL_CPU);
+            let id = format!("i-{index}");
+            self.users.resize(&id, FULL_CPU);
+            self.users.set_cut_off(&id, false);
+            self.users.set_rejecting(&id, false);
         }
         for link in self.store_links.iter().chain(&self.endpoint_links) {
             link.heal();
--- a/crates/rhubarbrilld/tests/soak/fault.rs
+++ b/crates/rhubarbrilld/tests/soak/fault.rs
@@ -47,6 +47,11 @@
     Compaction,
     /// An endpoint loses all its state and starts a new incarnation.
     RestartEndpoint(usize),
+    /// An endpoint is cut off from the store and starts a new incarnation, which the store
+    /// doesn't show until the fault ends.
+    RestartBehindCut(usize),
+    /// An endpoint rejects each start until the fault ends.
+    RejectStarts(usize),
     /// The capacity of an endpoint changes to this many tasks, until the fault ends.
     Resize(usize, u64),
     /// A newer version of the configuration is published.
@@ -62,6 +67,8 @@
     EndpointLink(usize),
     Store,
     FullSize(usize),
+    Reconnect(usize),
+    AcceptStarts(usize),
 }
 
 impl LinkFault {
@@ -102,8 +109,16 @@
         let leader = deployment.leader().filter(|_| random.random_bool(0.5));
         let entry = leader.unwrap_or(any);
         let endpoint = random.random_range(0..ENDPOINTS);
+        // Every second fault is one of those that this kind of run adds.
+        if troubles == Troubles::Restarts && random.random_bool(0.5) {
+            return if random.random_bool(0.7) {
+                Self::RestartBehindCut(endpoint)
+            } else {
+                Self::RejectStarts(endpoint)
+            };
+        }
         let kinds = match troubles {
-            Troubles::Faults => 14,
+            Troubles::Faults | Troubles::Restarts => 14,
             Troubles::Endpoints => 16,
         };
         match random.random_range(0..kinds) {
@@ -168,6 +183,16 @@
                 deployment.users.restart(&format!("i-{index}"));
                 None
             }
+            Self::RestartBehindCut(index) => {
+                let id = format!("i-{index}");
+                deployment.users.set_cut_off(&id, true);
+                deployment.users.restart(&id);
+                Some(Recovery::Reconnect(index))
+            }
+            Self::RejectStarts(index) => {
+                deployment.users.set_rejecting(&format!("i-{index}"), true);
+                Some(Recovery::AcceptStarts(index))
+            }
             Self::Resize(index, tasks) => {
                 let cpu = tasks * TASK_CPU;
                 deployment.users.resize(&format!("i-{index}"), cpu);
@@ -202,6 +227,12 @@
                 deployment.users.resize(&format!("i-{index}"), FULL_CPU);
             }
             Self::Store => deployment.users.set_store_fault(StoreFault::None),
+            Self::Reconnect(index) => {
+                deployment.users.set_cut_off(&format!("i-{index}"), false);
+            }
+            Self::AcceptStarts(index) => {
+                deployment.users.set_rejecting(&format!("i-{index}"), false);
+            }
         }
     }
 }
--- a/crates/rhubarbrilld/tests/soak/main.rs
+++ b/crates/rhubarbrilld/tests/soak/main.rs
@@ -8,8 +8,8 @@
 //! faults are removed.
 //!
 //! The seed determines every random choice, but not how processes interleave. `SOAK_SEED`
-//! runs a single seed, `SOAK_SEEDS` runs the given number of random seeds, each with both kinds
-//! of troubles, and
+//! runs a single seed, `SOAK_SEEDS` runs the given number of random seeds for each kind of
+//! troubles, and
 //! `SOAK_SECONDS` sets the time during which faults are injected.
 
 use std::time::Duration;
@@ -35,6 +35,8 @@
     /// Also tasks that crash the endpoints that start them, and endpoints whose capacity
     /// changes and that start whatever they are told to.
     Endpoints,
+    /// Also endpoints that restart while they are cut off from the store, or reject starts.
+    Restarts,
 }
 
 fn run_seed(seed: u64, troubles: Troubles) {
@@ -67,6 +69,15 @@
     run_seed(seed, Troubles::Endpoints);
 }
 
+/// Fixed seeds with endpoints that restart behind a cut and that reject starts.
+#[rstest]
+#[case::first(1)]
+#[case::second(2)]
+#[case::third(3)]
+fn invariants_hold_with_restarts_behind_cuts(#[case] seed: u64) {
+    run_seed(seed, Troubles::Restarts);
+}
+
 /// Regression seeds, each of which once violated an invariant.
 #[rstest]
 // A hold for an endpoint's previous incarnation reached the next one, which discarded
@@ -87,10 +98,12 @@
     if let Some(seed) = variable("SOAK_SEED") {
         run_seed(seed, Troubles::Faults);
         run_seed(seed, Troubles::Endpoints);
+        run_seed(seed, Troubles::Restarts);
     }
     let fresh: u64 = variable("SOAK_SEEDS").unwrap_or(0);
     for _ in 0..fresh {
         run_seed(rand::random(), Troubles::Faults);
         run_seed(rand::random(), Troubles::Endpoints);
+        run_seed(rand::random(), Troubles::Restarts);
     }
 }
--- a/crates/standin/src/users.rs
+++ b/crates/standin/src/users.rs
@@ -174,6 +174,18 @@
         }
     }
 
+    /// Cuts an endpoint off from the store, or lets it register again.
+    pub fn set_cut_off(&self, id: &str, is_cut_off: bool) {
+        self.shared.lock().set_cut_off(id, is_cut_off);
+    }
+
+    /// Makes an endpoint reject each start with status 503, or accept starts again.
+    pub fn set_rejecting(&self, id: &str, rejects_starts: bool) {
+        if let Some(endpoint) = self.shared.lock().endpoints.get_mut(id) {
+            endpoint.rejects_starts = rejects_starts;
+        }
+    }
+
     /// Makes the tasks of jobs with this payload crash each endpoint that starts them. The
     /// endpoint starts again after 1.5 s.
     pub fn set_crashing_payload(&self, payload: &str) {
--- a/crates/standin/src/users/endpoint.rs
+++ b/crates/standin/src/users/endpoint.rs
@@ -60,6 +60,9 @@
     let Some(endpoint) = state.endpoints.get_mut(id) else {
         return (StatusCode::NOT_FOUND, Value::Null);
     };
+    if endpoint.rejects_starts {
+        return (StatusCode::SERVICE_UNAVAILABLE, Value::Null);
+    }
     let clock_ms = endpoint.clock.now_ms();
     if fencing_token < endpoint.fencing_token {
         return reject(clock_ms, "fence");
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -107,6 +107,10 @@
     pub(crate) crash: Option<(Instant, String)>,
     /// Until when it is away after a crash.
     pub(crate) down_until: Option<Instant>,
+    /// Whether it can't reach the store, so that its registration stays as it is.
+    pub(crate) is_cut_off: bool,
+    /// Whether it rejects each start, being unhealthy.
+    pub(crate) rejects_starts: bool,
 }
 
 /// The clock of an endpoint, which may run faster or slower than real time.
@@ -306,6 +310,8 @@
             capacity: Capacity::full(),
             crash: None,
             down_until: None,
+            is_cut_off: false,
+            rejects_starts: false,
         };
         self.endpoints.insert(id.to_owned(), endpoint);
         self.register(id);
@@ -313,7 +319,8 @@
 
     /// Writes the registration of an endpoint to the store.
     fn register(&mut self, id: &str) {
-        let Some(endpoint) = self.endpoints.get(id) else {
+        let endpoint = self.endpoints.get(id);
+        let Some(endpoint) = endpoint.filter(|endpoint| !endpoint.is_cut_off) else {
             return;
         };
         let entry = json!({
@@ -386,6 +393,17 @@
         self.register(id);
     }
 
+    /// Cuts an endpoint off from the store, or lets it register again.
+    pub(crate) fn set_cut_off(&mut self, id: &str, is_cut_off: bool) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        let was_cut_off = std::mem::replace(&mut endpoint.is_cut_off, is_cut_off);
+        if was_cut_off && !is_cut_off && endpoint.pool != STANDBY {
+            self.register(id);
+        }
+    }
+
     /// Moves the host of an endpoint to another pool and restarts the endpoint there at
     /// once; in the standby pool, the endpoint is not registered.
     pub(crate) fn move_endpoint(&mut self, id: &str, pool: &str) {
