Link no private item in public documentation

Cause: the documentation of Resource::is_plausible linked MAX_AMOUNT, which isn't public; the whole check stopped there on.

Change: the sentence names no item.

Measured: cargo doc with warnings denied passes for the workspace.

--- a/crates/core/src/job/resource.rs
+++ b/crates/core/src/job/resource.rs
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Returns whether no dimension exceeds [`MAX_AMOUNT`].
+    /// Returns whether no dimension exceeds the largest plausible amount.
     pub const fn is_plausible(&self) -> bool {
         self.cpu <= MAX_AMOUNT && self.memory_mb <= MAX_AMOUNT && self.gpu <= MAX_AMOUNT
     }
