--- a/review/6/case.py
+++ b/review/6/case.py
@@ -82,8 +82,9 @@
         broken.append(f"LOST: {len(waiting)} of {len(usual)} jobs haven't been started, {FINISH_S:.0f} s after "
                       f"they were due and for 3 s, with all workers up and empty; the "
                       f"first of them is shown as {state!r}")
-        platform.record.add(f"the leader's record names {platform.store.leader()}, whose "
-                            f"process runs on")
+        leader = platform.store.leader()
+        state = "runs on" if platform.entry_named(leader) else "has ended"
+        platform.record.add(f"the leader's record names {leader}, whose process {state}")
     return broken
 
 
