--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,7 +10,7 @@
 import platform2 as p2
 
 DEADLY = [f"00000000000000f{number}" for number in range(1, 3)]
-DOWN_S = 1.5
+DOWN_S = 3.0
 FINISH_S = 14.0
 ROUTE = {"name": "q", "host": "h", "prefix": "/q/", "service": "p", "attempts": 4,
          "stretch": 2.0, "target-latency-ms": 2000, "public": False, "priority": 0}
