--- a/review/standin-2/platform2.py
+++ b/review/standin-2/platform2.py
@@ -786,9 +786,10 @@
                 shutil.copytree(platform.folder, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
             await platform.close()
 
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(play())
-    except Exception as error:  # The case couldn't run, whatever the reason.
+    except (Exception, KeyboardInterrupt) as error:  # It couldn't run, whatever the reason.
         record.add(f"couldn't run: {error!r}")
         print(f"couldn't run: {error!r}")
         sys.exit(2)
