Make the cancellation of an unknown job final by a tombstone

Cause: such a cancellation left nothing in the store. The write that accepts the job, whose answer was lost, requires that its key doesn't exist, and was executed late or made again by the entry host that had received the submission.

Change: the cancellation of a job that the store doesn't hold writes a tombstone (Submission::Cancelled) under the key and the conditions of the write that accepts it, so that whichever comes first stays. Submissions that find one, their second tries, forwarded and later ones are answered 503 without Retry-After: not accepted, never runs. GET and DELETE answer 410. Without an answer of the store the cancellation isn't acknowledged. Tombstones take at most 5 % of the store's writes, with bursts of 10 s, one workspace half of that; beyond it a cancellation of an unknown job is answered 503 with Retry-After. The leader removes them, at the revision that it saw, after the retention time of finished jobs (event 705). front::submit is split into submit, cancel, lookup and stored; the leaky bucket of the submission rates is a module that both use.

Why it works: the store executes only one of two writes that require the same key not to exist.

--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -16,8 +16,12 @@
 pub enum Submission {
     /// The job was accepted.
     Accepted(Box<Record>),
-    /// The job was refused. The entry keeps a delayed write from accepting it afterwards.
-    Refused,
+    /// The job was cancelled before it was accepted. The entry keeps submissions that are under
+    /// way, and later ones, from accepting it.
+    Cancelled {
+        /// Time of the cancellation, by the clock of the entry host that received it.
+        cancelled: Timestamp,
+    },
 }
 
 /// An accepted job.
--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -15,7 +15,7 @@
 use super::run::Run;
 use super::{
     Configuration, EndpointKey, Feature, Features, JobKey, Progress, Resource, RunKey,
-    Target, TaskName,
+    Target, TaskName, Tombstone,
 };
 use crate::time::{Instant, Timestamp};
 
@@ -235,6 +235,8 @@
     Remove(Vec<String>),
     /// Remove the records of the runs of these jobs, given by identity, from the store.
     RemoveOrphans(Vec<String>),
+    /// Remove these tombstones from the store.
+    RemoveTombstones(Vec<Tombstone>),
     /// Write the progress of jobs to the store.
     Save(Vec<Save>),
     /// Start a run.
@@ -265,6 +267,7 @@
     /// Jobs that are finished and saved, for which late updates are ignored.
     finished_jobs: BTreeMap<String, Instant>,
     removal_in_flight: bool,
+    tombstones: retention::Tombstones,
     orphans: orphans::Stored,
     runs: SlotMap<RunKey, Run>,
     workspace_usage: BTreeMap<String, Resource>,
@@ -311,6 +314,7 @@
             jobs_by_id: BTreeMap::new(),
             finished_jobs: BTreeMap::new(),
             removal_in_flight: false,
+            tombstones: retention::Tombstones::default(),
             orphans: orphans::Stored::default(),
             runs: SlotMap::with_key(),
             workspace_usage: BTreeMap::new(),
@@ -399,6 +403,7 @@
         }
         self.update_cordons();
         self.remove_finished(now, &mut commands);
+        self.remove_tombstones(now, &mut commands);
         self.remove_settled(&mut commands);
         self.schedule_waves(now, &mut commands);
         self.advance_evacuations(now, &mut commands);
--- a/crates/core/src/job/scheduler/submission_rate.rs
+++ b/crates/core/src/job/scheduler/submission_rate.rs
@@ -10,25 +10,16 @@
 
 use super::Scheduler;
 use crate::job::Record;
+use crate::job::rate_limit::{Bucket, Rate};
 use crate::time::Instant;
 
 /// Time over which a workspace may accumulate unused weight for a burst.
 const BURST_WINDOW: Duration = Duration::from_secs(2);
 
-/// One job in thousandths, which is also the weight of one job per second.
-const ONE_JOB: u64 = 1_000;
-
 /// Recent submissions of each workspace, measured against its weight.
 #[derive(Debug, Default)]
 pub(super) struct SubmissionRates {
-    buckets: BTreeMap<String, LeakyBucket>,
-}
-
-/// Fill level of a workspace's leaky bucket, in thousandths of a job.
-#[derive(Clone, Copy, Debug)]
-struct LeakyBucket {
-    level: u64,
-    at: Instant,
+    buckets: BTreeMap<String, Bucket>,
 }
 
 impl Scheduler {
@@ -46,26 +37,20 @@
         let Some(weight) = workspace.and_then(|workspace| workspace.weight) else {
             return true;
         };
-        let first = LeakyBucket { level: 0, at: now };
+        let rate = Rate {
+            // A weight is in thousandths of a job per second.
+            permille: weight,
+            burst: BURST_WINDOW,
+        };
         let bucket = self
             .submission_rates
             .buckets
             .entry(name.clone())
-            .or_insert(first);
-        let passed = now.saturating_since(bucket.at);
-        bucket.level = bucket.level.saturating_sub(allowed_amount(weight, passed));
-        bucket.at = now;
-        let capacity = allowed_amount(weight, BURST_WINDOW).max(ONE_JOB);
-        if bucket.level + ONE_JOB > capacity {
-            return false;
+            .or_insert(Bucket::new(now));
+        let is_within = bucket.has_room(now, rate);
+        if is_within {
+            bucket.add();
         }
-        bucket.level += ONE_JOB;
-        true
+        is_within
     }
 }
-
-/// Returns how much a weight allows within a span, in thousandths of a job.
-fn allowed_amount(weight: u64, span: Duration) -> u64 {
-    let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
-    weight.saturating_mul(millis) / 1_000
-}
--- a/crates/core/tests/job_support/delivery.rs
+++ b/crates/core/tests/job_support/delivery.rs
@@ -97,6 +97,15 @@
                 self.scheduler
                     .handle_orphans_removal_outcome(&ids, self.store_available);
             }
+            Command::RemoveTombstones(tombstones) => {
+                let gone = if self.store_available {
+                    tombstones
+                } else {
+                    Vec::new()
+                };
+                self.observed.removed_tombstones.extend_from_slice(&gone);
+                self.scheduler.handle_tombstone_removal_outcome(&gone);
+            }
             Command::Move(order) => {
                 self.observed.moves.push((
                     self.now,
--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -25,7 +25,7 @@
 use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
     Configuration, Declared, Features, Orphans, Progress, Registration, Resource, RunEnd,
-    RunKey, State, Step, TaskName,
+    RunKey, State, Step, TaskName, Tombstone,
 };
 use rhubarbrill_core::time::{Instant, Timestamp};
 
@@ -90,6 +90,8 @@
     pub largest_record: u64,
     /// Number of hold orders, which renew leases and request a report.
     pub holds: usize,
+    /// Tombstones that were removed from the store.
+    pub removed_tombstones: Vec<Tombstone>,
     /// Largest number of hosts that were in maintenance at once.
     pub max_in_maintenance: usize,
 }
--- a/crates/dispatch/src/front.rs
+++ b/crates/dispatch/src/front.rs
@@ -2,10 +2,13 @@
 
 mod admission;
 mod answer;
+mod cancel;
 mod forwarding;
 pub(crate) mod hand_over;
+mod lookup;
 mod request;
 mod status;
+mod stored;
 mod submit;
 
 pub use answer::Answer;
--- a/crates/dispatch/src/front/admission.rs
+++ b/crates/dispatch/src/front/admission.rs
@@ -11,7 +11,7 @@
 
 use super::Answer;
 use super::request::Call;
-use super::submit;
+use super::stored;
 use crate::node::Node;
 use crate::platform::{Bodies, Platform};
 use crate::{clock, event};
@@ -32,7 +32,7 @@
         return None;
     }
     let (delay, wait_ms, age) = rejection(node, call, spec)?;
-    let stored = submit::read_job_state(node, &call.id).await;
+    let stored = stored::read_job_state(node, &call.id).await;
     if !matches!(stored, Ok(None)) {
         return None;
     }
--- a/crates/dispatch/src/front/forwarding.rs
+++ b/crates/dispatch/src/front/forwarding.rs
@@ -21,6 +21,7 @@
 
 use super::Answer;
 use super::request::Call;
+use super::stored;
 use super::submit::{self, SubmitOutcome};
 use crate::node::Node;
 use crate::platform::{Failure, Peers, Platform};
@@ -178,7 +179,7 @@
     let known = node.view.borrow().state(id);
     let state = match known {
         Some(state) => Some(state),
-        None => match submit::read_job_state(node, id).await {
+        None => match stored::read_job_state(node, id).await {
             Ok(state) => state,
             Err(failure) => {
                 let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/dispatch/src/front/request.rs
+++ b/crates/dispatch/src/front/request.rs
@@ -15,7 +15,9 @@
 use slog::o;
 
 use super::Answer;
-use super::submit::{self, CancelOutcome, LookupOutcome};
+use super::cancel::{self, CancelOutcome};
+use super::lookup::{self, LookupOutcome};
+use super::submit;
 use crate::metrics::Labels;
 use crate::node::Node;
 use crate::platform::{Bodies, Platform};
@@ -24,6 +26,9 @@
 /// `Retry-After` of an entry host that has no configuration yet.
 const STARTING_RETRY: Duration = Duration::from_secs(1);
 
+/// `Retry-After` of a cancellation of an unknown job beyond the limit.
+const TOMBSTONE_RETRY: Duration = Duration::from_secs(1);
+
 /// Deadline of a request whose caller sets none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
 
@@ -189,9 +194,15 @@
     }
 
     async fn cancel(&self, call: &Call) -> Answer {
-        match submit::cancel(&self.node, call).await {
+        match cancel::cancel(&self.node, call).await {
             CancelOutcome::Done => Answer::new(StatusCode::OK, "cancelled"),
             CancelOutcome::NoSuchJob => self.refuse(StatusCode::GONE, "no such job"),
+            CancelOutcome::TooMany => self
+                .refuse(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "not cancelled: too many cancellations of unknown jobs",
+                )
+                .with_retry_after(TOMBSTONE_RETRY),
             CancelOutcome::Unknown => {
                 self.refuse(StatusCode::GATEWAY_TIMEOUT, "the store didn't answer")
             }
@@ -199,7 +210,7 @@
     }
 
     async fn state(&self, call: &Call) -> Answer {
-        match submit::look_up(&self.node, call).await {
+        match lookup::look_up(&self.node, call).await {
             LookupOutcome::Found(state) => self.state_answer(state),
             LookupOutcome::NoSuchJob => self.refuse(StatusCode::GONE, "no such job"),
             LookupOutcome::Unknown => {
--- a/crates/dispatch/src/lead/registrations.rs
+++ b/crates/dispatch/src/lead/registrations.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 
-use rhubarbrill_core::job::Submission;
 use rhubarbrill_core::job::scheduler::Scheduler;
+use rhubarbrill_core::job::{Submission, Tombstone};
 
 use super::recovery::RecoveredState;
 use crate::key::{self, Key};
@@ -80,7 +80,15 @@
     ) {
         let record = match decode(value) {
             Ok(Submission::Accepted(record)) => *record,
-            Ok(Submission::Refused) => return,
+            Ok(Submission::Cancelled { cancelled }) => {
+                let id = id.to_owned();
+                return scheduler.add_tombstone(
+                    clock::now(),
+                    clock::wall_clock(),
+                    Tombstone { id, revision },
+                    cancelled,
+                );
+            }
             Err(reason) => return sync::log_unreadable(node, &key::job(id), &reason),
         };
         let progress = self.recovered.progress.remove(id);
--- a/crates/dispatch/src/lead/save.rs
+++ b/crates/dispatch/src/lead/save.rs
@@ -4,11 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rhubarbrill_core::job::Estimate;
 use rhubarbrill_core::job::leader::Leader;
 use rhubarbrill_core::job::scheduler::{
     EvacuationReport, Save, SaveOutcome, Wave, WaveProgress, WaveState,
 };
+use rhubarbrill_core::job::{Estimate, Tombstone};
 use rhubarbrill_event::Event;
 use serde::Serialize;
 use slog::o;
@@ -274,6 +274,54 @@
     });
 }
 
+/// Removes tombstones, unless they have been replaced.
+pub(super) fn remove_tombstones<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    tombstones: Vec<Tombstone>,
+) {
+    let supervisor = shared.supervisor.clone();
+    let shared = Rc::clone(shared);
+    supervisor.spawn(Task::LeaderCall, async move {
+        let condition = |tombstone: &Tombstone| Condition {
+            key: key::job(&tombstone.id),
+            revision: tombstone.revision,
+        };
+        let removals = tombstones.iter().map(|tombstone| key::job(&tombstone.id));
+        let mut transaction = Transaction {
+            conditions: vec![leader_condition(&shared)],
+            writes: Vec::new(),
+            removals: removals.collect(),
+        };
+        transaction
+            .conditions
+            .extend(tombstones.iter().map(condition));
+        let gone = match shared.node.commit(&transaction).await {
+            Ok(CommitOutcome::Done(_)) => tombstones,
+            Ok(CommitOutcome::Conflict(items)) => replaced(tombstones, &items),
+            Ok(CommitOutcome::LeaseNotFound | CommitOutcome::Refused(_)) | Err(_) => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                Vec::new()
+            }
+        };
+        event::log(
+            &shared.node.log,
+            Event::TombstonesRemoved,
+            o!("jobs" => gone.len()),
+        );
+        notify(&shared, Message::TombstonesRemoved(gone));
+    });
+}
+
+/// Returns the tombstones that the store no longer holds, as a conflicting removal has found.
+fn replaced(tombstones: Vec<Tombstone>, items: &[Item]) -> Vec<Tombstone> {
+    let is_replaced = |tombstone: &Tombstone| {
+        let key = key::job(&tombstone.id);
+        let item = items.iter().find(|item| item.key == key);
+        item.is_some_and(|item| item.revision != tombstone.revision)
+    };
+    tombstones.into_iter().filter(is_replaced).collect()
+}
+
 /// Removes the states of finished jobs.
 pub(super) fn remove_finished<P: Platform>(shared: &Rc<Shared<P>>, ids: Vec<String>) {
     let supervisor = shared.supervisor.clone();
--- a/crates/dispatch/src/lead/term.rs
+++ b/crates/dispatch/src/lead/term.rs
@@ -11,7 +11,7 @@
     Pace, PolicyAnswer, PolicyQuestion, Save, SaveOutcome, Scheduler, Wave, WaveProgress,
     WaveState,
 };
-use rhubarbrill_core::job::{EndpointKey, Feature, RunKey};
+use rhubarbrill_core::job::{EndpointKey, Feature, RunKey, Tombstone};
 use rhubarbrill_core::time::Instant;
 use rhubarbrill_event::Event;
 use slog::o;
@@ -67,6 +67,8 @@
     Removed(Vec<String>, bool),
     /// Whether the records of the runs of these jobs were removed.
     OrphansRemoved(Vec<String>, bool),
+    /// The tombstones that a removal has shown to be gone.
+    TombstonesRemoved(Vec<Tombstone>),
     /// The list of hosts; it was requested at the given instant.
     HostsListed(Instant, Vec<Host>),
     /// The outcome of an order to move the named host.
@@ -387,6 +389,9 @@
         Message::OrphansRemoved(ids, done) => {
             scheduler.handle_orphans_removal_outcome(&ids, done);
         }
+        Message::TombstonesRemoved(gone) => {
+            scheduler.handle_tombstone_removal_outcome(&gone);
+        }
         Message::HostsListed(sent, hosts) => scheduler.set_hosts(now, sent, hosts),
         Message::Moved(host, outcome) => match outcome {
             HostOrderOutcome::Accepted => {
@@ -430,6 +435,9 @@
         Command::Save(saves) => save::save_progress(shared, saves),
         Command::Remove(ids) => save::remove_finished(shared, ids),
         Command::RemoveOrphans(ids) => save::remove_orphans(shared, ids),
+        Command::RemoveTombstones(tombstones) => {
+            save::remove_tombstones(shared, tombstones);
+        }
         Command::Move(order) => hosts::enqueue(shared, HostOrder::Move(order)),
         Command::Maintain(order) => hosts::enqueue(shared, HostOrder::Maintain(order)),
         Command::ReportEvacuation(report) => save::report_evacuation(shared, report),
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use rhubarbrill_core::contact::Contact;
-use rhubarbrill_core::job::Configuration;
 use rhubarbrill_core::job::refusal::Refusals;
+use rhubarbrill_core::job::{Configuration, tombstone};
 use rhubarbrill_core::round_trip::RoundTrip;
 use rhubarbrill_core::time::Instant;
 use slog::Logger;
@@ -53,6 +53,8 @@
     pub order_round_trip: RefCell<RoundTrip>,
     /// Jobs that were refused lately because of the store.
     pub refusals: RefCell<Refusals>,
+    /// Limit on the tombstones that this process writes.
+    pub tombstones: RefCell<tombstone::Budget>,
     /// Local view of the store.
     pub view: RefCell<View>,
     /// Notifies waiting tasks of each change of the view.
@@ -74,6 +76,9 @@
     ) -> Self {
         Self {
             platform,
+            tombstones: RefCell::new(tombstone::Budget::new(
+                settings.store_writes_per_second,
+            )),
             settings,
             supervisor: Supervisor::new(log.clone(), metrics.task_failures()),
             log,
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -27,6 +27,8 @@
     pub host_order_pause: Duration,
     /// Shortest lease TTL that the store grants.
     pub min_lease: Duration,
+    /// Number of writes that the store takes in a second; `None` if the settings don't tell.
+    pub store_writes_per_second: Option<u32>,
     /// Largest value that the store takes, in bytes.
     pub max_record_bytes: u64,
     /// Time for which the state of a finished job can be queried.
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -236,6 +236,9 @@
         "Nothing.";
     JobReceived = 704, Info,
         "The leader read a submitted job from the store.", "Nothing.";
+    TombstonesRemoved = 705, Info,
+        "Records of jobs that were cancelled before they were accepted were removed after their retention time.",
+        "Nothing.";
     RunPlaced = 710, Info,
         "A run was placed on an endpoint.", "Nothing.";
     RunNotStarted = 711, Warning,
--- a/crates/standin/src/users.rs
+++ b/crates/standin/src/users.rs
@@ -19,7 +19,7 @@
 use serde_json::{Value, json};
 
 use crate::server::Server;
-use state::State;
+use state::{LostWrite, State};
 
 pub use state::{StartedRun, StoreFault};
 
@@ -270,6 +270,27 @@
         self.shared.lock().store_fault = store_fault;
     }
 
+    /// Makes the store lose the next write of a key: it gives no answer, and executes the write
+    /// after a while if its conditions still hold, or never.
+    pub fn lose_write(&self, key: &str, executed_after: Option<Duration>) {
+        self.shared.lock().lost_writes.push(LostWrite {
+            key: key.to_owned(),
+            executed_after,
+        });
+    }
+
+    /// Returns how many writes the store is still to lose.
+    pub fn writes_to_lose(&self) -> usize {
+        self.shared.lock().lost_writes.len()
+    }
+
+    /// Returns the keys in the store that begin with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.shared.lock();
+        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
     /// Compacts the history of the store, so that watches of older revisions fail.
     pub fn compact(&self) {
         self.shared.lock().compact();
--- a/crates/standin/src/users/state.rs
+++ b/crates/standin/src/users/state.rs
@@ -45,6 +45,15 @@
     Delayed(u64),
 }
 
+/// A write that the store doesn't answer.
+#[derive(Clone, Debug)]
+pub(crate) struct LostWrite {
+    /// Key that the write names.
+    pub(crate) key: String,
+    /// Time after which it is executed if its conditions hold; `None` if it never is.
+    pub(crate) executed_after: Option<Duration>,
+}
+
 /// A run that an endpoint has started.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StartedRun {
@@ -145,6 +154,8 @@
     /// Leases that ended on request before they expired.
     pub(crate) revoked_leases: BTreeSet<u64>,
     pub(crate) store_fault: StoreFault,
+    /// The next writes that are lost.
+    pub(crate) lost_writes: Vec<LostWrite>,
     pub(crate) endpoints: BTreeMap<String, Endpoint>,
     pub(crate) started_runs: Vec<StartedRun>,
     /// The endpoints that the placement policy allows, if there is a policy.
@@ -178,6 +189,7 @@
             rejected_elections: 0,
             revoked_leases: BTreeSet::new(),
             store_fault: StoreFault::None,
+            lost_writes: Vec::new(),
             endpoints: BTreeMap::new(),
             started_runs: Vec::new(),
             allowed: None,
--- a/crates/standin/src/users/store.rs
+++ b/crates/standin/src/users/store.rs
@@ -9,7 +9,7 @@
 
 use super::SharedState;
 use super::http::{ReceivedRequest, Reply};
-use super::state::{State, StoreFault};
+use super::state::{LostWrite, State, StoreFault};
 
 /// Interval between two checks of a pending watch for new changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
@@ -35,6 +35,13 @@
     if call.path == "/kv-watch" {
         return watch(&shared, &call).await;
     }
+    let lost = take_lost_write(&mut shared.lock(), &call);
+    if let Some(lost) = lost {
+        if let Some(delay) = lost.executed_after {
+            execute_later(shared, call, delay);
+        }
+        return std::future::pending().await;
+    }
     let mut state = shared.lock();
     match (&call.method, call.path.as_str()) {
         (&Method::GET, "/kv-key") => Some(get(&state, &call)),
@@ -63,6 +70,25 @@
     }
 }
 
+/// Returns the loss that a transaction meets, if any.
+fn take_lost_write(state: &mut State, call: &ReceivedRequest) -> Option<LostWrite> {
+    let writes = call.body["writes"].as_array()?;
+    let is_written = |key: &str| writes.iter().any(|write| write["key"] == key);
+    let found = state
+        .lost_writes
+        .iter()
+        .position(|lost| is_written(&lost.key))?;
+    Some(state.lost_writes.remove(found))
+}
+
+/// Executes a transaction after a while, also if its connection is closed by then.
+fn execute_later(shared: SharedState, call: ReceivedRequest, delay: Duration) {
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(delay).await;
+        execute_transaction(&mut shared.lock(), &call);
+    });
+}
+
 fn get(state: &State, call: &ReceivedRequest) -> (StatusCode, Value) {
     let key = call.query("key");
     match state.items.get(&key) {
