Use a newer fencing token for an endpoint that is added again, whatever was written

Ends of unknown jobs are acknowledged without a write, so that an acknowledgement in transit could carry the token of the first start. The token counts as used up now once any endpoint was forgotten in the term; endpoints that were never known before get no newer token for nothing.

--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -260,6 +260,8 @@
     configuration: Configuration,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     endpoints_by_id: BTreeMap<String, EndpointKey>,
+    /// Whether an endpoint has been removed, or replaced by a newer incarnation, in this term.
+    has_forgotten_endpoints: bool,
     /// Ended incarnations of endpoints, whose registrations may not have expired yet.
     ended_incarnations: BTreeMap<String, intake::EndedIncarnation>,
     jobs: SlotMap<JobKey, Job>,
@@ -309,6 +311,7 @@
             configuration: Configuration::default(),
             endpoints: SlotMap::with_key(),
             endpoints_by_id: BTreeMap::new(),
+            has_forgotten_endpoints: false,
             ended_incarnations: BTreeMap::new(),
             jobs: SlotMap::with_key(),
             jobs_by_id: BTreeMap::new(),
--- a/crates/core/src/job/scheduler/incarnation.rs
+++ b/crates/core/src/job/scheduler/incarnation.rs
@@ -80,11 +80,10 @@
         successor
     }
 
-    /// Returns the fence of an endpoint that is added. An endpoint with the same identity may have
-    /// been sent orders in this term.
+    /// Returns the fence of an endpoint that is added. If endpoints have been forgotten in this term,
+    /// an acknowledgement to one with the same identity may still be executed.
     pub(super) fn new_fence(&self, now: Instant) -> Fence {
-        let first = self.term.fencing_token;
-        Fence::new(self.newest_revision, now, self.newest_revision > first)
+        Fence::new(self.newest_revision, now, self.has_forgotten_endpoints)
     }
 
     /// Returns whether a run of a restarted endpoint may be executing on the newer incarnation,
--- a/crates/core/src/job/scheduler/intake.rs
+++ b/crates/core/src/job/scheduler/intake.rs
@@ -153,6 +153,7 @@
         let Some(endpoint) = self.endpoints.remove(key) else {
             return;
         };
+        self.has_forgotten_endpoints = true;
         let id = &endpoint.registration.id;
         if self.endpoints_by_id.get(id) == Some(&key) {
             self.endpoints_by_id.remove(id);
