Split the simulation of the scheduler's tests, and let entry hosts of tests try other ports

core/tests/job_support/mod.rs had grown to 806 lines: defaults, hosts, leaders, the checks of each tick and writes to the store are modules of their own now, moved without a change.

Entry::start tries other ports then; any other end before an entry host is ready fails the test as before. What entry hosts write to standard error is in their logs.

--- a/crates/core/tests/job_support/mod.rs
+++ b/crates/core/tests/job_support/mod.rs
@@ -6,30 +6,33 @@
 
 #![allow(dead_code, reason = "each test crate uses only a part of this module")]
 
+mod check;
 mod crash;
+mod defaults;
 mod delivery;
 mod endpoint;
+mod hosts;
+mod leaders;
 mod policy;
 pub mod random;
+mod store;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use rhubarbrill_core::job::configuration::{Declarations, Pool, Queue, Workspace};
 use rhubarbrill_core::job::record::Record;
 use rhubarbrill_core::job::scheduler::{
-    Authority, ColdLimits, EvacuationReport, Hold, Host, HostState, Options, Save,
-    Scheduler, Term, WaveState,
+    Authority, EvacuationReport, Hold, Host, HostState, Options, Save, Scheduler, Term,
+    WaveState,
 };
-use rhubarbrill_core::job::spec::Spec;
 use rhubarbrill_core::job::{
-    Configuration, Declared, Features, Orphans, Progress, Registration, Resource, RunEnd,
-    RunKey, State, Step, TaskName, Tombstone,
+    Configuration, Features, Orphans, Progress, Registration, Resource, RunEnd, RunKey,
+    State, TaskName, Tombstone,
 };
 use rhubarbrill_core::time::{Instant, Timestamp};
 
 pub use crash::Crashes;
+pub use defaults::*;
 use delivery::WaitingHold;
 pub use endpoint::{Endpoint, Link};
 pub use policy::Policy;
@@ -171,130 +174,6 @@
     expiring_registrations: Vec<(Instant, Registration)>,
 }
 
-/// Returns the scheduler options that the daemon uses.
-pub const fn options(features: Features) -> Options {
-    Options {
-        lease_term: Duration::from_millis(5_000),
-        max_lease: Duration::from_millis(6_000),
-        inherited_bound: Duration::from_millis(9_425),
-        max_record_bytes: MAX_RECORD_BYTES,
-        retention: Duration::from_secs(150),
-        max_capacity_age: Duration::from_millis(3_800),
-        cold: ColdLimits {
-            overrun_permille: 1_500,
-            slack: 5,
-        },
-        features,
-        host_orders_per_second: None,
-    }
-}
-
-/// Returns a queue that is served by the pool of the same name.
-pub fn queue(name: &str) -> Queue {
-    Queue {
-        name: name.to_owned(),
-        host: "h".to_owned(),
-        prefix: format!("/{name}/"),
-        pool: name.to_owned(),
-        priority: 0,
-        attempts: 2,
-        stretch: 1.6,
-        target_latency: Duration::from_millis(600),
-        public: false,
-        placement_policy: None,
-    }
-}
-
-/// Returns a configuration with the given pools and a standby pool named `spare`.
-pub fn configuration_with_spare(pools: &[&str]) -> Configuration {
-    let mut configuration = configuration(pools);
-    configuration.pools.push(Pool {
-        name: "spare".to_owned(),
-        standby: true,
-        ..Pool::default()
-    });
-    configuration
-}
-
-/// Returns a simulation of pool `a` with the given number of hosts and no standby pool, after
-/// the hosts have been listed.
-pub fn simulation(hosts: usize) -> Simulation {
-    let mut simulation = Simulation::new(configuration(&["a"]));
-    simulation.add_hosts("a", hosts);
-    simulation.run_for(Duration::from_millis(200));
-    simulation
-}
-
-/// Returns a simulation of pool `a` whose store takes records of at most `max_bytes`, after the
-/// hosts have been listed.
-pub fn simulation_with_max_record(hosts: usize, max_bytes: u64) -> Simulation {
-    let options = Options {
-        max_record_bytes: max_bytes,
-        ..options(Features::NONE)
-    };
-    let mut simulation = Simulation::with_options(configuration(&["a"]), options);
-    simulation.max_record_bytes = max_bytes;
-    simulation.add_hosts("a", hosts);
-    simulation.run_for(Duration::from_millis(200));
-    simulation
-}
-
-/// Returns a simulation of pool `a` with the given numbers of hosts in it and in the standby
-/// pool, after the hosts have been listed.
-pub fn simulation_with_spare(hosts: usize, spare: usize) -> Simulation {
-    let mut simulation = Simulation::new(configuration_with_spare(&["a"]));
-    simulation.add_hosts("a", hosts);
-    simulation.add_hosts("spare", spare);
-    simulation.run_for(Duration::from_millis(200));
-    simulation
-}
-
-/// Returns a configuration with the given pools and one workspace without limits.
-pub fn configuration(pools: &[&str]) -> Configuration {
-    let pool = |name: &str| Pool {
-        name: name.to_owned(),
-        standby: false,
-        ..Pool::default()
-    };
-    Configuration {
-        version: 1,
-        queues: pools.iter().map(|name| queue(name)).collect(),
-        pools: pools.iter().map(|name| pool(name)).collect(),
-        workspaces: vec![Workspace {
-            name: "w".to_owned(),
-            keys: vec!["k".to_owned()],
-            weight: None,
-            limit: Resource::default(),
-        }],
-        max_body_bytes: 262_144,
-        header_timeout: Duration::from_secs(3),
-    }
-}
-
-/// Returns a step of `count` tasks that each need `cpu` thousandths of a core and an
-/// estimated run time of `estimate_ms`.
-pub fn step(count: u32, cpu: u64, estimate_ms: u64) -> Step {
-    Step {
-        count,
-        demand: Resource {
-            cpu,
-            memory_mb: 1_000,
-            gpu: 0,
-        },
-        estimate_ms,
-        ..Step::default()
-    }
-}
-
-/// Returns the specification of a job with the given steps.
-pub fn spec(steps: Vec<Step>) -> Spec {
-    Spec {
-        payload: "p".to_owned(),
-        steps,
-        recurrence: None,
-    }
-}
-
 impl Simulation {
     /// Returns a simulation in its first term, without endpoints and with all features off.
     pub fn new(configuration: Configuration) -> Self {
@@ -366,78 +245,6 @@
         Timestamp::from_millis(self.now.as_micros() / 1_000)
     }
 
-    /// Adds `count` hosts to a pool, each with an endpoint unless the pool is `spare`.
-    pub fn add_hosts(&mut self, pool: &str, count: usize) {
-        for _ in 0..count {
-            let host = format!("m{}", self.hosts.len());
-            self.hosts.insert(
-                host.clone(),
-                Host {
-                    name: host.clone(),
-                    pool: pool.to_owned(),
-                    zone: format!("z{}", self.hosts.len() % 3),
-                    state: HostState::Up,
-                    capacity: CAPACITY,
-                    endpoint: None,
-                },
-            );
-            self.boot(&host);
-        }
-        self.list_hosts();
-    }
-
-    /// Starts the endpoint of a host, unless the host is in the standby pool.
-    fn boot(&mut self, host: &str) {
-        if self.hosts[host].pool == "spare" {
-            return;
-        }
-        self.started_endpoints += 1;
-        let id = format!("e{}", self.started_endpoints);
-        let address: SocketAddr =
-            format!("127.0.0.1:{}", 10_000 + self.started_endpoints)
-                .parse()
-                .expect("the address is well formed");
-        let pool = self.hosts[host].pool.clone();
-        let report = Registration {
-            id: id.clone(),
-            born: self.started_endpoints,
-            pool,
-            address,
-            zone: self.hosts[host].zone.clone(),
-            labels: vec![
-                "kind".to_owned(),
-                format!("rack{}", self.started_endpoints % 4),
-            ],
-            capacity: CAPACITY,
-            draining: false,
-            cold_remaining: self.cold_remaining,
-            clock_ms: 0,
-        };
-        if let Some(host) = self.hosts.get_mut(host) {
-            host.endpoint = Some(id.clone());
-        }
-        self.scheduler.set_endpoint(self.now, report.clone());
-        let endpoint = Endpoint::new(report, host.to_owned());
-        self.endpoints.insert(id, endpoint);
-    }
-
-    /// Changes the capacity of an endpoint, which its registration doesn't show yet.
-    pub fn resize(&mut self, id: &str, capacity: Resource) {
-        let endpoint = self.endpoints.get_mut(id).expect("the endpoint exists");
-        endpoint.capacity = capacity;
-        endpoint.is_resized = true;
-    }
-
-    /// Passes an endpoint's registration to the scheduler, as its next heartbeat does.
-    pub fn publish(&mut self, id: &str) {
-        let now = self.now;
-        let endpoint = self.endpoints.get_mut(id).expect("the endpoint exists");
-        endpoint.report.capacity = endpoint.capacity;
-        endpoint.report.clock_ms = endpoint.clock_ms(now);
-        endpoint.stale_report = None;
-        self.scheduler.set_endpoint(now, endpoint.report.clone());
-    }
-
     /// Passes the configuration to the leader.
     pub fn configure(&mut self) {
         self.scheduler
@@ -479,120 +286,6 @@
             .set_evacuated_zones(self.now, &self.evacuated_zones);
     }
 
-    /// Passes the current list of hosts to the scheduler.
-    pub fn list_hosts(&mut self) {
-        let hosts = self.hosts.values().cloned().collect();
-        self.scheduler.set_hosts(self.now, self.now, hosts);
-    }
-
-    /// Submits a job of the default workspace and returns its identity.
-    pub fn submit(&mut self, queue: &str, spec: Spec) -> String {
-        self.submit_at(queue, spec, 0)
-    }
-
-    /// Submits a job of the given workspace and returns its identity.
-    pub fn submit_for(&mut self, workspace: &str, queue: &str, spec: Spec) -> String {
-        self.submit_record(workspace, queue, spec, 0)
-    }
-
-    /// Submits a job that was received `age_ms` ago and returns its identity.
-    pub fn submit_at(&mut self, queue: &str, spec: Spec, age_ms: u64) -> String {
-        self.submit_record("w", queue, spec, age_ms)
-    }
-
-    fn submit_record(
-        &mut self,
-        workspace: &str,
-        queue: &str,
-        spec: Spec,
-        age_ms: u64,
-    ) -> String {
-        let id = format!("{:016x}", self.records.len());
-        let declarations = Declarations {
-            queue: self.configuration.queue(queue),
-            workspace: self.configuration.workspace(workspace),
-        };
-        let record = Record {
-            queue: queue.to_owned(),
-            pool: self.pool_of(queue),
-            workspace: Some(workspace.to_owned()),
-            declared: Declared::new(&spec, declarations),
-            submitted: Timestamp::from_millis(self.wall_time().as_millis() - age_ms),
-            spec,
-        };
-        self.revision += 1;
-        self.versions.insert(id.clone(), self.revision);
-        self.records.insert(id.clone(), record.clone());
-        let wall_time = self.wall_time();
-        self.scheduler
-            .add_job(self.now, wall_time, &id, self.revision, record, None);
-        id
-    }
-
-    fn pool_of(&self, queue: &str) -> String {
-        let configured = self.configuration.queue(queue);
-        configured.map_or_else(|| queue.to_owned(), |queue| queue.pool.clone())
-    }
-
-    /// Replaces the leader by a new one that starts from the contents of the store.
-    ///
-    /// If `registrations_expired` is set, the registrations of unreachable endpoints have
-    /// expired, so the new leader doesn't know these endpoints.
-    pub fn elect_new_leader(&mut self, registrations_expired: bool) {
-        self.revision += 1;
-        self.term = Term {
-            fencing_token: self.revision,
-            number: self.term.number + 1,
-            start_revision: self.revision,
-        };
-        self.scheduler = Scheduler::new(self.options, self.term, self.now);
-        // What the earlier leader is told from now on doesn't matter.
-        self.waiting_holds.clear();
-        self.unanswered_starts.clear();
-        self.unanswered_holds.clear();
-        // The store rejects the writes of an earlier leader.
-        self.slow_writes.clear();
-        self.configure();
-        self.scheduler
-            .set_evacuated_zones(self.now, &self.evacuated_zones);
-        for endpoint in self.endpoints.values() {
-            if !(registrations_expired && endpoint.link == Link::Unreachable) {
-                let registered =
-                    endpoint.stale_report.as_ref().unwrap_or(&endpoint.report);
-                self.scheduler.set_endpoint(self.now, registered.clone());
-            }
-        }
-        for (_, report) in &self.expiring_registrations {
-            self.scheduler.set_endpoint(self.now, report.clone());
-        }
-        for (id, record) in &self.records {
-            if self.finished_jobs.contains(id) {
-                self.scheduler.add_finished_job(self.now, id);
-                continue;
-            }
-            let progress = self.progress.get(id).cloned().map(|progress| {
-                (
-                    progress,
-                    self.versions.get(&format!("p{id}")).copied().unwrap_or(0),
-                )
-            });
-            let version = self.versions[id];
-            let wall_time = self.wall_time();
-            self.scheduler.add_job(
-                self.now,
-                wall_time,
-                id,
-                version,
-                record.clone(),
-                progress,
-            );
-        }
-        for (id, orphans) in &self.orphans {
-            self.scheduler.add_orphans(self.now, id, orphans);
-        }
-        self.list_hosts();
-    }
-
     /// Returns the state of a job according to the store.
     pub fn state(&self, id: &str) -> State {
         self.progress
@@ -717,90 +410,4 @@
                 .handle_policy_answer(self.now, &question, answer);
         }
     }
-
-    fn advance_hosts(&mut self) {
-        let now = self.now;
-        let due: Vec<String> = self
-            .hosts_in_transition
-            .iter()
-            .filter(|(_, (end, _, _))| *end <= now)
-            .map(|(host, _)| host.clone())
-            .collect();
-        for name in due {
-            self.hosts_in_transition.remove(&name);
-            if let Some(host) = self.hosts.get_mut(&name) {
-                host.state = HostState::Up;
-            }
-            self.boot(&name);
-        }
-    }
-
-    fn take_down(&mut self, name: &str, pool: &str, state: HostState, duration_ms: u64) {
-        let Some(host) = self.hosts.get_mut(name) else {
-            return;
-        };
-        host.state = state;
-        pool.clone_into(&mut host.pool);
-        if let Some(id) = host.endpoint.take() {
-            let endpoint = self
-                .endpoints
-                .remove(&id)
-                .expect("the endpoint of a running host exists");
-            assert!(
-                endpoint.active_runs.iter().all(|run| run.ends_at.is_some())
-                    || duration_ms == 0,
-                "{name} is taken down while a long-running task runs on it"
-            );
-            assert!(
-                endpoint.active_runs.is_empty(),
-                "{name} is taken down while a run is active on it"
-            );
-            self.expiring_registrations
-                .push((self.now + REGISTRATION_TTL, endpoint.report));
-        }
-        let end = self.now + Duration::from_millis(duration_ms);
-        self.hosts_in_transition
-            .insert(name.to_owned(), (end, pool.to_owned(), state));
-        let in_maintenance = self
-            .hosts
-            .values()
-            .filter(|host| host.state == HostState::Maintained)
-            .count();
-        self.observed.max_in_maintenance =
-            self.observed.max_in_maintenance.max(in_maintenance);
-    }
-
-    fn check_invariants(&self) {
-        assert_eq!(
-            self.scheduler.audit(),
-            [],
-            "the scheduler's indexes disagree"
-        );
-        if self.checks_runs {
-            self.check_runs();
-        }
-    }
-
-    fn check_runs(&self) {
-        let mut tasks = BTreeSet::new();
-        for (id, endpoint) in &self.endpoints {
-            let used = endpoint.used();
-            assert!(
-                endpoint.is_resized
-                    || Resource::default().fits(&used, &endpoint.capacity),
-                "the runs of {id} exceed its capacity"
-            );
-            for run in &endpoint.active_runs {
-                let task = run.name.to_string();
-                let record = self.records.get(&run.name.job);
-                let allows_duplicates = record.is_some_and(|record| {
-                    record.spec.steps[run.name.step as usize].allow_duplicates
-                });
-                assert!(
-                    tasks.insert(task.clone()) || allows_duplicates,
-                    "{task} has two active runs but allows no duplicates"
-                );
-            }
-        }
-    }
 }
--- a/crates/rhubarbrilld/tests/support/jobs.rs
+++ b/crates/rhubarbrilld/tests/support/jobs.rs
@@ -15,6 +15,9 @@
 /// Longest time that any wait in these tests may take.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// End of what an entry host writes that can't listen on one of its addresses.
+const ADDRESS_TAKEN: &str = "Address already in use (os error 98)\n";
+
 /// Name of the file in an entry host's folder that switches features on.
 pub const FEATURES_FILE: &str = "features.ini";
 
@@ -42,12 +45,15 @@
 
 impl Entry {
     /// Starts an entry host that logs to a file in the folder, and waits until it is
-    /// ready.
+    /// ready. If another program has taken one of its addresses, it gets others.
     pub fn start(folder: &Folder, users: &UserPlatform, name: &str) -> Self {
-        let addresses = free_addresses();
-        let mut entry = Self::launch(folder, users, users.store(), name, addresses);
-        entry.wait_until_ready(folder);
-        entry
+        loop {
+            let addresses = free_addresses();
+            let mut entry = Self::launch(folder, users, users.store(), name, addresses);
+            if entry.wait_until_ready(folder) {
+                return entry;
+            }
+        }
     }
 
     /// Starts an entry host that reaches the store at `store`, without waiting until it
@@ -66,6 +72,7 @@
             .append(true)
             .open(folder.path().join(format!("{name}.log")))
             .unwrap();
+        let errors = log.try_clone().unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_rhubarbrilld"));
         command.arg("--platform");
         let features = folder.path().join(FEATURES_FILE);
@@ -78,7 +85,7 @@
         let child = command
             .env(SETTINGS_PATH_VARIABLE, path)
             .stdout(Stdio::from(log))
-            .stderr(Stdio::inherit())
+            .stderr(Stdio::from(errors))
             .spawn()
             .unwrap();
         Self {
@@ -90,10 +97,15 @@
         }
     }
 
-    fn wait_until_ready(&mut self, folder: &Folder) {
+    /// Waits until the entry host is ready. Returns whether it is, and not if it has ended because
+    /// another program has taken one of its addresses.
+    fn wait_until_ready(&mut self, folder: &Folder) -> bool {
         let start = Instant::now();
         while !self.is_ready() {
             let exited = self.child.try_wait().unwrap();
+            if exited.is_some() && self.read_log(folder).ends_with(ADDRESS_TAKEN) {
+                return false;
+            }
             if exited.is_some() || start.elapsed() > TIMEOUT {
                 let log = self.read_log(folder);
                 panic!(
@@ -103,6 +115,7 @@
             }
             std::thread::sleep(Duration::from_millis(20));
         }
+        true
     }
 
     /// Returns whether the readiness check answers with status 200.
