Pause for 100 ms between holds of an endpoint

Ruled out: letting holds that acknowledge wait for 100 ms. It saves as much, but one that is executed late could wait at an incarnation while that executes a start, and it isn't written when a worker forgets.

All tests of job_acknowledgement pass.

--- a/crates/core/src/job/scheduler/order.rs
+++ b/crates/core/src/job/scheduler/order.rs
@@ -24,7 +24,7 @@
 const DOUBTED_HOLD_WAIT: Duration = Duration::from_millis(220);
 
 /// Pause between two holds of an endpoint, in which ends accumulate.
-const HOLD_PAUSE: Duration = Duration::from_millis(40);
+const HOLD_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest pause between two holds while some ends aren't in the store.
 const UNSAVED_HOLD_PAUSE: Duration = Duration::from_millis(300);
