--- a/crates/core/src/job/scheduler.rs
+++ b/crates/core/src/job/scheduler.rs
@@ -20,6 +20,7 @@
 use crate::time::{Instant, Timestamp};
 
 mod absence;
+mod acknowledge;
 mod adopt;
 mod audit;
 mod backlog;
