Go back to the pause of 40 ms between holds

With 100 ms where no task waits for capacity, job_crash (3 tests) and job_interference (1) fail: the leader learns too little of endpoints.

--- a/crates/core/src/job/scheduler/order.rs
+++ b/crates/core/src/job/scheduler/order.rs
@@ -22,10 +22,7 @@
 const DOUBTED_HOLD_WAIT: Duration = Duration::from_millis(220);
 
 /// Pause between two holds of an endpoint, in which ends accumulate.
-const HOLD_PAUSE: Duration = Duration::from_millis(100);
-
-/// The same pause while tasks wait for capacity in the pool of the endpoint.
-const SHORT_HOLD_PAUSE: Duration = Duration::from_millis(40);
+const HOLD_PAUSE: Duration = Duration::from_millis(40);
 
 /// Longest pause between two holds while some ends aren't in the store.
 const UNSAVED_HOLD_PAUSE: Duration = Duration::from_millis(300);
@@ -108,11 +105,6 @@
             Duration::ZERO
         } else if self.endpoints[key].ends.has_unsaved() {
             UNSAVED_HOLD_PAUSE
-        } else if self
-            .unplaced
-            .contains_key(&self.endpoints[key].registration.pool)
-        {
-            SHORT_HOLD_PAUSE
         } else {
             HOLD_PAUSE
         };
