--- a/crates/core/tests/job_acknowledgement.rs
+++ b/crates/core/tests/job_acknowledgement.rs
@@ -34,9 +34,8 @@
 /// Time for which jobs are submitted after the restart.
 const TROUBLE_TIME: Duration = Duration::from_millis(1_500);
 
-/// Time in which each job finishes. An endpoint whose runs fail gets new ones only every four seconds,
-/// and late jobs come last.
-const FINISH_TIME: Duration = Duration::from_secs(120);
+/// Time in which each job finishes.
+const FINISH_TIME: Duration = Duration::from_secs(20);
 
 /// Number of times that a case is played. The restart and the arrival of a late acknowledgement are
 /// shifted by some ticks each time, so that they meet several moments between the end of a run and its
